Keep idle connections by how those of their age fared, not none for 10 s after a break

One break of a kept connection made the proxy drop and refuse to keep any for 10 s.

Ruled out by a system-call trace: servers closing first after each answer.

--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import select
+from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 
 import httptools
 
@@ -20,7 +22,10 @@
 READ = 64 << 10  # bytes read in one go, into one buffer that all connections share
 IDLE_PART = 0.5  # of the time after which backends close idle connections: ours go well before
 IDLE_EACH = 2  # idle connections kept to one backend
-DISTRUST = 10.0  # seconds in which none is kept after one that was kept broke before any answer
+AGES = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)  # idle times between which kept connections are told apart
+BROKEN_MOST = 0.3  # the part of those used again after such a time that may break: one more try for each...
+BROKEN_PRIOR = 10.0  # ...with so many taken to have held: one that breaks proves nothing...
+BROKEN_HALF = 10.0  # ...and after so many seconds what was seen counts half
 STALL = 0.1  # seconds between two pieces of an answer: it comes in one go, and a second try needs about 0.2
 HOP_BY_HOP = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -49,6 +54,41 @@
         self.idle: list[Connection] = []
 
 
+class Keeping:
+    """How long connections may be kept idle, by how those that were used again fared.
+
+    Guards against backends, or what lies between, that forget kept connections without a word: they do so
+    after a time, so what has been idle for less is still good. Where any connection may break, new ones too,
+    keeping is not at fault, and to keep none would cost backends a handshake for each request.
+    """
+
+    __slots__ = ("_broke", "_halved", "_used")
+
+    def __init__(self) -> None:
+        self._used = [0.0] * (len(AGES) + 1)
+        self._broke = [0.0] * (len(AGES) + 1)
+        self._halved = 0.0
+
+    def used(self, idle: float) -> None:
+        """Count one that is used again after so many seconds."""
+        self._used[bisect_right(AGES, idle)] += 1.0
+
+    def broke(self, idle: float) -> None:
+        """Count one of those that then broke before any answer."""
+        self._broke[bisect_right(AGES, idle)] += 1.0
+
+    def most(self, now: float, part: float) -> float:
+        """The idle time below which no more than this part breaks."""
+        if now - self._halved >= BROKEN_HALF:  # Guards keeping against what was so once and is no more.
+            self._halved = now
+            self._used = [count / 2.0 for count in self._used]
+            self._broke = [count / 2.0 for count in self._broke]
+        for place, broke in enumerate(self._broke):
+            if broke > part * (self._used[place] + BROKEN_PRIOR):
+                return AGES[place - 1] if place else 0.0
+        return inf
+
+
 class Exchange:
     """One attempt on the wire: from its start to its one outcome."""
 
@@ -118,6 +158,7 @@
         self.exchange: Exchange | None = None
         self.written = False  # whether the last byte of the request is out
         self.idle_since = 0.0  # 0: it is new
+        self._idle = 0.0  # how long it had been idle when it was used again
         self._heard = False  # whether a byte of an answer has come
         self._held = 0  # its part of what the upstream counts
         self._parser = httptools.HttpResponseParser(self)
@@ -156,6 +197,11 @@
         """
         return not self._transport.is_closing() and not self._poll.poll(0)
 
+    def reuse(self, now: float) -> None:
+        """It is taken from the idle ones to carry another exchange."""
+        self._idle = now - self.idle_since
+        self._upstream.keeping.used(self._idle)
+
     def abandon(self) -> None:
         """Close at once, unsent bytes dropped."""
         self.exchange = None
@@ -282,7 +328,7 @@
         del self._parser  # Guards memory: the parser and this object hold each other.
         if self.exchange is not None:
             if self.idle_since and not self._heard:
-                self._upstream.distrust()
+                self._upstream.keeping.broke(self._idle)
             self.exchange.broke()
 
 
@@ -295,7 +341,7 @@
         self._keep = IDLE_PART * conn_idle
         self._dial_timeout = dial_timeout
         self.buffer = memoryview(bytearray(READ))
-        self._distrust_until = 0.0
+        self.keeping = Keeping()
         self._dialling = 0
         self._connected = 0
         self.held = 0  # bytes of answers that are not whole
@@ -315,11 +361,14 @@
         """Send an attempt, on a new connection if none is idle; its outcome is reported later."""
         exchange.timer = self._loop.call_at(exchange.until, exchange.expire)
         idle = exchange.backend.idle
+        now = self._loop.time()
+        oldest = now - self.keeping.most(now, BROKEN_MOST)
         # Guards what must not run twice: a kept connection may be dead already, and nothing would tell.
         while idle and exchange.repeatable:
             connection = idle.pop()
             del self._idle[connection]
-            if connection.usable():
+            if connection.idle_since >= oldest and connection.usable():
+                connection.reuse(now)
                 self._transmit(exchange, connection)
                 return
             connection.abandon()
@@ -364,21 +413,14 @@
     def release(self, connection: Connection) -> None:
         """Keep a connection for the next exchange."""
         backend = connection.backend
-        now = self._loop.time()
         full = len(backend.idle) >= IDLE_EACH  # Guards backends: each connection takes of what they can do.
-        if not backend.in_service or full or now < self._distrust_until or not connection.usable():
+        if not backend.in_service or full or not connection.usable():
             connection.abandon()
             return
-        connection.idle_since = now
+        connection.idle_since = self._loop.time()
         backend.idle.append(connection)
         self._idle[connection] = None
 
-    def distrust(self) -> None:
-        """Guards against backends, or what lies between, that forget kept connections without a word."""
-        self._distrust_until = self._loop.time() + DISTRUST
-        for connection in tuple(self._idle):
-            self._drop(connection)
-
     def holds(self, size: int) -> bool:
         """Count so many more bytes of an answer, if there is room for them."""
         fits = self.held + size <= self._held_most
