Let a book use a connection that has just answered instead of dialling each time

Each POST opened a connection of its own: a third of its work at a server again. It now takes a kept one that answered within a second, unless those of its idle age were seen to break.

Ruled out: too few kept per server; servers themselves close most of the rest.

The test that wanted a new connection for each such request encoded the fault.

--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -24,8 +24,10 @@
 IDLE_EACH = 2  # idle connections kept to one backend
 AGES = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)  # idle times between which kept connections are told apart
 BROKEN_MOST = 0.3  # the part of those used again after such a time that may break: one more try for each...
-BROKEN_PRIOR = 10.0  # ...with so many taken to have held: one that breaks proves nothing...
+BROKEN_ONCE = 0.08  # ...and where it must not run twice: all its work, against that of a handshake...
+BROKEN_PRIOR = 5.0  # ...with so many taken to have held beside those seen...
 BROKEN_HALF = 10.0  # ...and after so many seconds what was seen counts half
+FRESH = 1.0  # seconds after its last answer in which a connection carries what must not run twice
 STALL = 0.1  # seconds between two pieces of an answer: it comes in one go, and a second try needs about 0.2
 HOP_BY_HOP = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -64,10 +66,10 @@
 
     __slots__ = ("_broke", "_halved", "_used")
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
         self._used = [0.0] * (len(AGES) + 1)
         self._broke = [0.0] * (len(AGES) + 1)
-        self._halved = 0.0
+        self._halved = now
 
     def used(self, idle: float) -> None:
         """Count one that is used again after so many seconds."""
@@ -341,7 +343,7 @@
         self._keep = IDLE_PART * conn_idle
         self._dial_timeout = dial_timeout
         self.buffer = memoryview(bytearray(READ))
-        self.keeping = Keeping()
+        self.keeping = Keeping(self._loop.time())
         self._dialling = 0
         self._connected = 0
         self.held = 0  # bytes of answers that are not whole
@@ -363,8 +365,11 @@
         idle = exchange.backend.idle
         now = self._loop.time()
         oldest = now - self.keeping.most(now, BROKEN_MOST)
-        # Guards what must not run twice: a kept connection may be dead already, and nothing would tell.
-        while idle and exchange.repeatable:
+        # Guards what must not run twice: a kept connection may be dead already, and nothing would tell. One
+        # that has just answered is as good as a new one, and costs the backend no handshake.
+        if not exchange.repeatable:
+            oldest = now - min(FRESH, self.keeping.most(now, BROKEN_ONCE))
+        while idle and (exchange.repeatable or idle[-1].idle_since >= oldest):
             connection = idle.pop()
             del self._idle[connection]
             if connection.idle_since >= oldest and connection.usable():
