--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -59,6 +59,10 @@
 EDGE = 1e-5  # seconds by which a span is read to the budget's disadvantage: clocks are rounded
 WINDOW_MARGIN = 0.9  # the part of a keyed class's window in which repeats are sent
 
+COPY_SPREADS = 5.0  # a second copy goes out so many mean deviations over the tier's latency...
+COPY_NEEDS = 1.5  # ...sooner where only so many times that latency would be left...
+COPY_LEAST = 2.0  # ...but not before so many times it: in a queue all are late, and copies feed it
+
 STALE = 5.0  # seconds after which a silent server's latency counts half, the tier's the other half
 WORKING_SPREAD = 1.0  # servers of a slice beyond the first, for each root of the calls usually in flight
 WORKING_EVERY = 3.0  # seconds between looks at the size of the working set
@@ -84,7 +88,7 @@
 #: Outcomes that speak of too much work for the servers there are.
 STRAIN = frozenset({Outcome.FULL, Outcome.TIMEOUT, Outcome.UNREACHABLE})
 
-SUBSCRIBE = 1  # timer token
+SUBSCRIBE = 1  # timer token; those above it are of second copies
 
 
 class Breaker:
@@ -373,7 +377,10 @@
         self.due = [1.0 + SHARE_SPAN * share for share in self.shares]  # ...how many requests of it now...
         self.due_at = [0.0] * len(self.due)  # ...as of then
         self.look_at = 0.0
-        self.pooled = 0.0  # current latency of the tier
+        self.pooled = 0.0  # current latency of the tier...
+        self.spread = 0.0  # ...and its mean deviation
+        self.copies: dict[int, tuple[Request, Attempt]] = {}  # by timer token: what may get a copy then
+        self.tokens = SUBSCRIBE
         self.requests: dict[RequestId, Request] = {}
         rules = settings.rules
         self.budget = Budget(EXTRA_FREE, EXTRA_SHARE, EXTRA_SPAN)
@@ -655,8 +662,29 @@
         request.open += 1
         within = request.until - now if request.until < request.deadline else 0.0
         out.append(Send(request.id, server.row.server, within))
+        if request.open == 1:
+            self._watch(now, request, attempt, out)
         return True
 
+    def _watch(self, now: float, request: Request, attempt: Attempt, out: list[Action]) -> None:
+        """Ask for a look at an attempt that may be lost, while there is time for a second copy.
+
+        Guards what is safe to repeat against attempts that are never answered: a hung server, an answer lost
+        on the way. Without it they are waited for until no time is left. Could harm where all are slow: the
+        retry budget bounds the copies, and where the latency is a large part of the time there are none.
+        """
+        kind = self.settings.classes[request.kind]
+        if kind.repeat is not Repeat.SAFE or kind.streaming or not self.settings.limits.second_copies:
+            return
+        least = COPY_LEAST * self.pooled
+        latest = request.until - now - COPY_NEEDS * self.pooled
+        if self.pooled <= 0.0 or latest < least:
+            return
+        delay = min(max(self.pooled + COPY_SPREADS * self.spread, least), latest)
+        self.tokens += 1
+        self.copies[self.tokens] = (request, attempt)
+        out.append(Timer(now + delay, self.tokens))
+
     def _offers(self, now: float, request: Request, among: list[Server], first: bool) -> list[Server]:
         """The candidates, the best first.
 
@@ -798,8 +826,16 @@
                 breaker.sample(min(latency, self.pooled))  # no baseline from one slow answer alone
             breaker.sample(latency)
             server.learn(now, latency)
-            self.pooled += (latency - self.pooled) / 32.0 if self.pooled > 0.0 else latency
-        elif how is not Outcome.CANCELLED:
+            if self.pooled > 0.0:
+                self.spread += (abs(latency - self.pooled) - self.spread) / 32.0
+                self.pooled += (latency - self.pooled) / 32.0
+            else:
+                self.pooled, self.spread = latency, latency / 2.0
+        elif how is Outcome.CANCELLED:
+            # Guards against a hung server whose attempts end with the answer of a copy: it took this long.
+            if latency > server.latency:
+                server.learn(now, latency)
+        else:
             breaker.failed(now)
             # Guards against a server that fails fast and so looks quick: a failure costs a time-out.
             server.learn(now, max(latency, timeout))
@@ -825,4 +861,9 @@
         if token == SUBSCRIBE and self.asking:
             self.asking = False
             return [Subscribe()]
-        return []
+        out: list[Action] = []
+        if token in self.copies:
+            request, attempt = self.copies.pop(token)
+            if attempt.open:
+                self._again(now, request, out)
+        return out
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -9,6 +9,7 @@
 
 from jaspershelf.decide import Balancer
 from jaspershelf.model import (
+    Cancel,
     Fail,
     Limits,
     ListKind,
@@ -22,6 +23,7 @@
     Settings,
     State,
     Tenant,
+    Timer,
 )
 
 SAFE = RequestClass("a", aim=1.0, deadline=4.0, repeat=Repeat.SAFE, worth=1.0)
@@ -413,3 +415,50 @@
         checker.advance(0.95)
     rids = [checker.request(0, 4.0) for _ in range(4)]
     assert sum(bool(checker.owed[rid].tries) for rid in rids) == taken
+
+
+def served(b: Balancer, latency: float = 0.05, count: int = 40) -> None:
+    """Calls one after another, each answered after so long."""
+    for n in range(count):
+        now = 101.0 + n
+        b.request(now, f"s{n}", 0, 0, now + 4.0)
+        b.outcome(now + latency, f"s{n}", 0, Outcome.OK, latency, True)
+
+
+def copying(kind: RequestClass = SAFE, second_copies: bool = True) -> Balancer:
+    limits = Limits(cancel=True, second_copies=second_copies, max_attempts=3)
+    b = balancer(Settings(classes=(kind,), limits=limits))
+    served(b)
+    return b
+
+
+def test_an_attempt_that_is_never_answered_gets_a_copy_elsewhere() -> None:
+    b = copying()
+    send, timer = b.request(200.0, "r", 0, 0, 204.0)
+    assert isinstance(send, Send) and isinstance(timer, Timer)
+    assert 200.09 < timer.at < 200.5  # far over the usual 50 ms, with time to spare for the copy
+    [copy] = b.timer(timer.at, timer.token)
+    assert isinstance(copy, Send) and copy.server != send.server
+    assert b.outcome(timer.at + 0.05, "r", 1, Outcome.OK, 0.05, True) == [Cancel("r", 0)]
+    b.outcome(timer.at + 0.05, "r", 0, Outcome.CANCELLED, timer.at - 199.95)
+    assert b.servers[send.server].latency > 0.08  # it took at least that long
+    assert not b.requests and not b.copies
+
+
+def test_an_attempt_that_ended_in_time_gets_no_copy() -> None:
+    b = copying()
+    _, timer = b.request(200.0, "r", 0, 0, 204.0)
+    again, later = b.outcome(200.05, "r", 0, Outcome.ERROR, 0.05)
+    assert isinstance(again, Send) and isinstance(timer, Timer) and isinstance(later, Timer)
+    assert b.timer(timer.at, timer.token) == []  # the second attempt has a look of its own
+    b.outcome(200.1, "r", 1, Outcome.OK, 0.05, True)
+    assert b.timer(later.at, later.token) == []
+
+
+def test_no_copies_where_they_may_not_be_or_all_are_slow() -> None:
+    unsafe = RequestClass("b", aim=1.0, deadline=4.0, repeat=Repeat.UNSAFE)
+    slow = balancer(Settings(classes=(SAFE,), limits=Limits(cancel=True, second_copies=True)))
+    served(slow, 0.4)
+    for b in (copying(unsafe), copying(second_copies=False), slow):
+        [send] = b.request(200.0, "r", 0, 0, 204.0)
+        assert isinstance(send, Send)
