--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -60,8 +60,10 @@
 WINDOW_MARGIN = 0.9  # the part of a keyed class's window in which repeats are sent
 
 COPY_SPREADS = 5.0  # a second copy goes out so many mean deviations over the tier's latency...
-COPY_NEEDS = 1.5  # ...sooner where only so many times that latency would be left...
-COPY_LEAST = 2.0  # ...but not before so many times it: in a queue all are late, and copies feed it
+COPY_LEAST = 2.0  # ...at so many times it or later...
+COPY_NEEDS = 1.5  # ...if so many times it are left then: in a queue all are late, and copies feed it...
+COPY_SHARE = 0.05  # ...for this part of the requests...
+COPY_FREE = 1.0  # ...and one more, in any span of the retry budget
 
 STALE = 5.0  # seconds after which a silent server's latency counts half, the tier's the other half
 WORKING_SPREAD = 1.0  # servers of a slice beyond the first, for each root of the calls usually in flight
@@ -384,8 +386,11 @@
         self.requests: dict[RequestId, Request] = {}
         rules = settings.rules
         self.budget = Budget(EXTRA_FREE, EXTRA_SHARE, EXTRA_SPAN)
+        # Guards retries of what has failed against copies that use up their budget.
+        self.copy_budget = Budget(COPY_FREE, COPY_SHARE, EXTRA_SPAN)
         if rules.extra_span > 0.0:
             self.budget = Budget(rules.extra_free, rules.extra_share, rules.extra_span)
+            self.copy_budget = self.budget  # the rule counts copies too
         self.asking = False
         self.backoff = 1.0
         dearest = max(c.worth for c in settings.classes) or 1.0
@@ -540,6 +545,8 @@
         request.until = self._worth_until(now, kind, deadline, retry)
         self.requests[rid] = request
         self.budget.take(now)
+        if self.copy_budget is not self.budget:
+            self.copy_budget.take(now)
         pool = self.pool_of[kind]
         pool.rate.add(now)
         if now >= self.look_at:
@@ -654,7 +661,7 @@
         if server.cold_credit > 0.0:
             server.cold_credit -= 1.0
         if request.attempts:
-            self.budget.spend(now)
+            self._budget(request).spend(now)
         attempt = Attempt(server, now)
         server.out[attempt] = None
         self.pool_of[request.kind].sent.add(now)
@@ -670,17 +677,18 @@
         """Ask for a look at an attempt that may be lost, while there is time for a second copy.
 
         Guards what is safe to repeat against attempts that are never answered: a hung server, an answer lost
-        on the way. Without it they are waited for until no time is left. Could harm where all are slow: the
-        retry budget bounds the copies, and where the latency is a large part of the time there are none.
+        on the way. Without it they are waited for until no time is left. Acts at the last tier alone: a copy
+        further up repeats the work of all tiers below. Could harm where all are slow: a budget of their own
+        bounds the copies, and where latency is a large part of the time there are none.
         """
         kind = self.settings.classes[request.kind]
+        if self.settings.tier < self.settings.tiers - 1:
+            return
         if kind.repeat is not Repeat.SAFE or kind.streaming or not self.settings.limits.second_copies:
             return
-        least = COPY_LEAST * self.pooled
-        latest = request.until - now - COPY_NEEDS * self.pooled
-        if self.pooled <= 0.0 or latest < least:
+        delay = max(self.pooled + COPY_SPREADS * self.spread, COPY_LEAST * self.pooled)
+        if self.pooled <= 0.0 or now + delay + COPY_NEEDS * self.pooled > request.until:
             return
-        delay = min(max(self.pooled + COPY_SPREADS * self.spread, least), latest)
         self.tokens += 1
         self.copies[self.tokens] = (request, attempt)
         out.append(Timer(now + delay, self.tokens))
@@ -748,9 +756,15 @@
         row = first.server.row
         return pool.groups.get((kind.group, row.zone if kind.group is Group.ZONE else row.cell), [])
 
+    def _budget(self, request: Request) -> Budget:
+        """What a further attempt counts against: it is a copy while an earlier one is out."""
+        return self.copy_budget if request.open else self.budget
+
     def _again(self, now: float, request: Request, out: list[Action]) -> bool:
         """Try a further attempt within the rules and the retry budget."""
-        if request.done or request.bound or now >= request.until or not self.budget.allows(now):
+        if request.done or request.bound or now >= request.until:
+            return False
+        if not self._budget(request).allows(now):
             return False
         if len(request.attempts) >= self.settings.limits.max_attempts:
             return False
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -459,6 +459,21 @@
     unsafe = RequestClass("b", aim=1.0, deadline=4.0, repeat=Repeat.UNSAFE)
     slow = balancer(Settings(classes=(SAFE,), limits=Limits(cancel=True, second_copies=True)))
     served(slow, 0.4)
-    for b in (copying(unsafe), copying(second_copies=False), slow):
+    limits = Limits(cancel=True, second_copies=True)
+    upper = balancer(Settings(classes=(SAFE,), limits=limits, tiers=2))
+    served(upper)
+    for b in (copying(unsafe), copying(second_copies=False), slow, upper):
         [send] = b.request(200.0, "r", 0, 0, 204.0)
         assert isinstance(send, Send)
+
+
+def test_copies_leave_the_budget_of_retries_alone_and_are_few() -> None:
+    b = copying()
+    copies = 0
+    for n in range(20):
+        now = 200.0 + n / 4.0
+        _, timer = b.request(now, f"r{n}", 0, 0, now + 4.0)
+        assert isinstance(timer, Timer)
+        copies += len(b.timer(timer.at, timer.token))
+        b.outcome(timer.at + 0.01, f"r{n}", 0, Outcome.OK, timer.at + 0.01 - now, True)
+    assert 0 < copies <= 3 and not b.budget._extra
