--- a/jaspershelf/adapter.py
+++ b/jaspershelf/adapter.py
@@ -69,6 +69,8 @@
     "cancel": "Cancel",
     "second_copies": "SecondCopies",
     "max_attempts": "MaxAttempts",
+    "retry_after": "RetryAfter",
+    "max_retry_after": "MaxRetryAfter",
 }
 
 
--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -76,6 +76,8 @@
 ROOM_TRIED = 0.1  # part of the offered rate that counts as served: stuck requests must not hold all room
 ROOM_ALWAYS = 3.0  # requests that are taken whatever was served lately: a start, a proxy with few calls...
 ROOM_ALONE = 2.0  # ...and so many more, while none fail, at a proxy that shares its zone with no other
+COME_BACK = 0.5  # refused clients are told to stay away for this part of the tier's latency...
+COME_BACK_MOST = 1.0  # ...and for so many seconds at most, where the settings state no other most
 SHARE_SPAN = 5.0  # seconds of its share that a tenant may use at once: a burst, not a surplus
 
 POOL_PROTECTION = 1.0  # requests that never count against a pool: all of a proxy's calls fill its window...
@@ -779,9 +781,23 @@
             self.pool_of[request.kind].breaker.failed(now)
         kind = self.settings.classes[request.kind]
         free = kind.repeat is Repeat.SAFE or (kind.repeat is Repeat.KEYED and kind.group is Group.ALL)
-        out.append(Refuse(request.id) if free or request.first_maybe() is None else Fail(request.id))
+        if free or request.first_maybe() is None:
+            out.append(Refuse(request.id, self._come_back()))
+        else:
+            out.append(Fail(request.id))
         self._finish(request, out)
 
+    def _come_back(self) -> float:
+        """How long a refused client should stay away: until a part of what is out now has ended.
+
+        Guards against clients that wait by guess: too long is time lost of what their answer is wanted in,
+        too short is one of their few tries. Acts at the first tier: nobody else comes back by itself.
+        """
+        limits = self.settings.limits
+        if self.settings.tier or not limits.retry_after:
+            return 0.0
+        return min(COME_BACK * self.pooled, limits.max_retry_after or COME_BACK_MOST)
+
     def _finish(self, request: Request, out: list[Action]) -> None:
         request.done = True
         self.pool_of[request.kind].owed -= 1
--- a/jaspershelf/model.py
+++ b/jaspershelf/model.py
@@ -134,10 +134,13 @@
     cancel: bool = False
     second_copies: bool = False
     max_attempts: int = 3
+    retry_after: bool = False
+    max_retry_after: float = 0.0  # 0: not stated
 
     def check(self, at: str) -> None:
         """Raise ValueError for values that make no sense."""
         _number(f"{at}.max_attempts", self.max_attempts, 1)
+        _number(f"{at}.max_retry_after", self.max_retry_after)
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -24,7 +24,7 @@
         {"Name": "x", "Aim": 1.0, "HardLimit": 4.0, "Repeat": "retryable", "Credit": 2.0},
         {"Name": "y", "Aim": 1.0, "HardLimit": 4.0, "Repeat": "fragile", "Credit": 5.0, "LateWorth": 0.8},
     ],
-    "Bounds": {"Cancel": True, "MaxAttempts": 3, "Unheard": 1},
+    "Bounds": {"Cancel": True, "MaxAttempts": 3, "MaxRetryAfter": 2.5, "RetryAfter": True, "Unheard": 1},
     "Orgs": [{"Name": "o", "Share": 1.0, "AllowancePerS": 9.0}], "HostTypes": ["k"],
     "Tiers": ["one"], "Zones": ["here"], "Novelty": {"a": 1},
 }
@@ -192,6 +192,7 @@
     assert settings.discovery is Discovery.ON_REQUEST
     assert settings.marks_retry
     assert not settings.passes_deadline and settings.limits.max_attempts == 3
+    assert settings.limits.retry_after and settings.limits.max_retry_after == 2.5
     assert adapter.read_settings({}).classes, "absent keys take defaults"
 
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -48,7 +48,7 @@
 
 
 @pytest.mark.parametrize("bad", BAD_NUMBERS)
-@pytest.mark.parametrize("name", ["max_attempts"])
+@pytest.mark.parametrize("name", ["max_attempts", "max_retry_after"])
 def test_numbers_in_limits(name: str, bad: Any) -> None:
     values: dict[str, Any] = {name: bad}
     with pytest.raises(ValueError, match=rf"limits\.{name}"):
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -477,3 +477,23 @@
         copies += len(b.timer(timer.at, timer.token))
         b.outcome(timer.at + 0.01, f"r{n}", 0, Outcome.OK, timer.at + 0.01 - now, True)
     assert 0 < copies <= 3 and not b.budget._extra
+
+
+@pytest.mark.parametrize(
+    ("tier", "limits", "least", "most"),
+    [
+        (0, Limits(retry_after=True, max_retry_after=2.5), 0.05, 0.5),  # answers take about a third of one
+        (0, Limits(retry_after=True, max_retry_after=0.01), 0.01, 0.01),
+        (0, Limits(), 0.0, 0.0),
+        (1, Limits(retry_after=True, max_retry_after=2.5), 0.0, 0.0),
+    ],
+)
+def test_refused_clients_hear_when_to_come_back(
+    tier: int, limits: Limits, least: float, most: float
+) -> None:
+    checker = Checker(Settings(classes=(SAFE,), tier=tier, tiers=2, limits=limits), 3, ROWS)
+    steady(checker, 4.0, 10.0)
+    b = checker.balancer
+    b.members(checker.now, ListKind.WHOLE, [])  # nowhere to go: refused, whatever the room
+    [refusal] = b.request(checker.now, "r", 0, 0, checker.now + 4.0)
+    assert isinstance(refusal, Refuse) and least <= refusal.retry_after <= most
