--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -5,7 +5,7 @@
 Pure and sans-I/O: every method takes the time, returns the actions to carry out, and reads no clock.
 All randomness comes from the seed. The mechanism is that of go-zero PR #5366 with SRE-book throttling
 (docs/design.md): each server has a breaker that refuses locally with the larger of an error chance and
-a latency chance; of a few random ready servers the one with the lowest latency x (in-flight + 1) is taken.
+a latency chance; of two random ready servers the one with the lower latency x (in-flight + 1) is taken.
 """
 
 from __future__ import annotations
@@ -52,8 +52,7 @@
 AIM_PART = 0.98  # attempts end this early in the wanted time: the answer still has to reach the client
 LATE_KEPT = 0.5  # classes whose late answers keep more of their worth are waited for
 
-CANDIDATES = 3  # random ready servers that a pick compares: of two, both are slow ones too often
-DRAWS = 8  # random draws for them, at most
+DRAWS = 8  # random draws for two candidates, at most
 EXTRA_FREE = 5.0  # further attempts in any span where no retry budget is stated...
 EXTRA_SHARE = 0.2  # ...and for each request taken in it: more would feed an overload...
 EXTRA_SPAN = 10.0  # ...over so many seconds
@@ -520,7 +519,7 @@
         rules = self.settings.rules
         age = max(0.0, now - server.row.started)
         part = rules.cold_from + (1.0 - rules.cold_from) * min(1.0, age / max(rules.cold_for, 1e-6))
-        draws = min(float(DRAWS), CANDIDATES / max(pool.warm_part, 0.01))
+        draws = min(float(DRAWS), 2.0 / max(pool.warm_part, 0.01))
         if self.rng.random() >= part / draws:
             return True
         pace = 2.0 * part * sum(p.part_rate(now) for p in self.pools if p.opens(server.row))
@@ -701,7 +700,7 @@
 
         Guards requests against waiting behind others in a slice while servers outside it stand idle, most of
         all where it is narrow or a server of it is slow or dead: where all candidates of the slice are busy
-        or outliers, as many of all servers are drawn too, taken to hold of others' what ours hold of ours on
+        or outliers, two of all servers are drawn too, taken to hold of others' what ours hold of ours on
         average. Could harm where others have far more traffic: their servers are busier than they seem.
         """
         pooled = self.pooled or self.settings.classes[request.kind].aim  # before any answer all are alike
@@ -720,7 +719,7 @@
         return sorted(scores, key=scores.__getitem__)
 
     def _candidates(self, now: float, request: Request, among: list[Server], first: bool) -> list[Server]:
-        """A few random ready servers, fewer where there are no more."""
+        """Two random ready servers, fewer where there are no more."""
         count = len(among)
         found: list[Server] = []
         pool = self.pool_of[request.kind]
@@ -738,7 +737,7 @@
             if self._cold_until(server) > now and (not first or self._spares_cold(now, server, pool)):
                 continue
             found.append(server)
-            if len(found) == CANDIDATES:
+            if len(found) == 2:
                 break
         return found
 
