--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -27,7 +27,8 @@
 BROKEN_ONCE = 0.08  # ...and where it must not run twice: all its work, against that of a handshake...
 BROKEN_PRIOR = 5.0  # ...with so many taken to have held beside those seen...
 BROKEN_HALF = 10.0  # ...and after so many seconds what was seen counts half
-FRESH = 1.0  # seconds after its last answer in which a connection carries what must not run twice
+FRESH = 1.0  # seconds after its last answer in which a connection carries what must not run twice...
+PROOF = 5.0  # ...or as long as so many that had been idle for as long, or longer, were used again and held
 STALL = 0.1  # seconds between two pieces of an answer: it comes in one go, and a second try needs about 0.2
 HOP_BY_HOP = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -90,6 +91,20 @@
                 return AGES[place - 1] if place else 0.0
         return inf
 
+    def proven(self) -> float:
+        """The idle time up to which kept connections were seen to hold: what holds when old held when young.
+
+        Guards backends against a handshake for each request of a proxy that seldom calls any one of them, as
+        all do in a large fleet. It needs more than no break seen: what must not run twice is no trial.
+        """
+        used = broke = 0.0
+        for place in reversed(range(len(self._used))):
+            used += self._used[place]
+            broke += self._broke[place]
+            if used >= PROOF and broke <= BROKEN_ONCE * used:
+                return AGES[place] if place < len(AGES) else inf
+        return 0.0
+
 
 class Exchange:
     """One attempt on the wire: from its start to its one outcome."""
@@ -368,7 +383,8 @@
         # Guards what must not run twice: a kept connection may be dead already, and nothing would tell. One
         # that has just answered is as good as a new one, and costs the backend no handshake.
         if not exchange.repeatable:
-            oldest = now - min(FRESH, self.keeping.most(now, BROKEN_ONCE))
+            most = self.keeping.most(now, BROKEN_ONCE)
+            oldest = now - min(max(FRESH, self.keeping.proven()), most)
         while idle and (exchange.repeatable or idle[-1].idle_since >= oldest):
             connection = idle.pop()
             del self._idle[connection]
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -478,6 +478,30 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(
+    ("used", "broke", "dialled"), [(0, 0, 2), (4, 0, 2), (5, 0, 1), (20, 1, 1), (20, 4, 2)]
+)
+def test_what_must_not_run_twice_uses_ages_at_which_connections_were_seen_to_hold(
+    used: int, broke: int, dialled: int
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            exchanges = Exchanges(one)
+            for number in range(used):  # idle for longer than the one below: what it proves holds there too
+                exchanges.upstream.keeping.used(5.0)
+                if number < broke:
+                    exchanges.upstream.keeping.broke(5.0)
+            exchanges.start()
+            assert await soon(exchanges.ended.get()) is Outcome.OK
+            [connection] = exchanges.known.idle
+            connection.idle_since -= 2.0
+            exchanges.start(repeatable=False)
+            assert await soon(exchanges.ended.get()) is Outcome.OK
+            assert len(one.open) == dialled
+
+    asyncio.run(play())
+
+
 def test_one_dead_kept_connection_does_not_stop_all_keeping() -> None:
     async def play() -> None:
         answers = [OK, OK, CLOSE, OK, OK]
