Share work among cold and warm servers by what each can do, however many are cold

At fault: Balancer._spares_cold divided a cold server's chance by the draws of a pick, though draws until there are two candidates share by what each can do already. The budget now shrinks where more are cold.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -519,10 +519,12 @@
         rules = self.settings.rules
         age = max(0.0, now - server.row.started)
         part = rules.cold_from + (1.0 - rules.cold_from) * min(1.0, age / max(rules.cold_for, 1e-6))
-        draws = min(float(DRAWS), 2.0 / max(pool.warm_part, 0.01))
-        if self.rng.random() >= part / draws:
+        # Half, as an idle one wins over its rival; draws go on until there are two candidates, so where many are
+        # cold each still gets its part of what all can do now, and the few warm ones no more than theirs.
+        if self.rng.random() >= 0.5 * part:
             return True
-        pace = 2.0 * part * sum(p.part_rate(now) for p in self.pools if p.opens(server.row))
+        pace = (1.0 + pool.warm_part) * part * sum(
+            p.part_rate(now) for p in self.pools if p.opens(server.row))
         if server.cold_seen <= 0.0:
             server.cold_credit = self.rng.random()  # instances must not all begin at the same moment
             server.cold_seen = now
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -348,6 +348,22 @@
                 b.outcome(now + 0.01, f"r{n}", 0, Outcome.UNREACHABLE, 0.01)
 
 
+def test_where_most_are_cold_they_carry_their_part() -> None:
+    """Six of ten just started, at 0.4 of what they can do: 2.4 of 6.4 is theirs, and half of that for certain."""
+    b = balancer(Settings(classes=(SAFE,), rules=Rules(cold_from=0.4, cold_for=1e6, fall_after=2.0)))
+    rows = [ServerRow(i, started=99.0 if i > 4 else 0.0) for i in range(1, 11)]
+    b.members(100.0, ListKind.WHOLE, rows)
+    now, cold, sent = 100.0, 0, 2000
+    for n in range(sent):
+        now += 0.02
+        [send] = b.request(now, f"r{n}", 0, 0, now + 4.0)
+        assert isinstance(send, Send)
+        cold += send.server > 4
+        b.outcome(now + 0.01, f"r{n}", 0, Outcome.OK, 0.01, True)
+    part = 2.4 / 6.4
+    assert 0.5 * part <= cold / sent <= part
+
+
 def test_refused_clients_that_come_back_do_not_fill_a_cold_budget() -> None:
     """The budget goes by calls sent: four offered for each one sent must not give it four times as much."""
     rules = Rules(cold_from=0.3, cold_for=20.0, fall_multiple=3.0, fall_after=2.0)
