--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -519,8 +519,8 @@
         rules = self.settings.rules
         age = max(0.0, now - server.row.started)
         part = rules.cold_from + (1.0 - rules.cold_from) * min(1.0, age / max(rules.cold_for, 1e-6))
-        # Half, as an idle one wins over its rival; draws go on until there are two candidates, so where many are
-        # cold each still gets its part of what all can do now, and the few warm ones no more than theirs.
+        # Half, as an idle one wins over its rival; draws go on until there are two candidates, so where many
+        # are cold each still gets its part of what all can do now, and the few warm ones no more than theirs.
         if self.rng.random() >= 0.5 * part:
             return True
         pace = (1.0 + pool.warm_part) * part * sum(
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -349,7 +349,7 @@
 
 
 def test_where_most_are_cold_they_carry_their_part() -> None:
-    """Six of ten just started, at 0.4 of what they can do: 2.4 of 6.4 is theirs, and half of that for certain."""
+    """Six of ten just started, at 0.4 of what they can do: 2.4 of 6.4 is theirs, half of it surely."""
     b = balancer(Settings(classes=(SAFE,), rules=Rules(cold_from=0.4, cold_for=1e6, fall_after=2.0)))
     rows = [ServerRow(i, started=99.0 if i > 4 else 0.0) for i in range(1, 11)]
     b.members(100.0, ListKind.WHOLE, rows)
