--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -434,10 +434,12 @@
     def release(self, connection: Connection) -> None:
         """Keep a connection for the next exchange."""
         backend = connection.backend
-        full = len(backend.idle) >= IDLE_EACH  # Guards backends: each connection takes of what they can do.
-        if not backend.in_service or full or not connection.usable():
+        if not backend.in_service or not connection.usable():
             connection.abandon()
             return
+        if len(backend.idle) >= IDLE_EACH:  # Guards backends: each connection takes of what they can do.
+            # The oldest goes: what must not run twice may not take it, and would dial past it each time.
+            self._drop(backend.idle[0])
         connection.idle_since = self._loop.time()
         backend.idle.append(connection)
         self._idle[connection] = None
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -502,6 +502,25 @@
     asyncio.run(play())
 
 
+def test_where_enough_are_kept_the_oldest_makes_room_for_the_one_that_just_answered() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            exchanges = Exchanges(one)
+            for _ in range(2):
+                exchanges.start()
+            for _ in range(2):
+                assert await soon(exchanges.ended.get()) is Outcome.OK
+            for connection in exchanges.known.idle:
+                connection.idle_since -= WIDE
+            for _ in range(3):  # the first finds none young enough, the others its connection
+                exchanges.start(repeatable=False)
+                assert await soon(exchanges.ended.get()) is Outcome.OK
+            assert len(one.open) == 3
+            await until(lambda: one.ended.qsize() == 1)  # no more than two are kept
+
+    asyncio.run(play())
+
+
 def test_one_dead_kept_connection_does_not_stop_all_keeping() -> None:
     async def play() -> None:
         answers = [OK, OK, CLOSE, OK, OK]
