Refuse by chance as the latency of all that is owed leaves its baseline

At fault: Balancer._admits bounds what is owed by the aims (1.2 and 2.1 s of what is served) and three more at each proxy, some 150 over seven, where servers slow down from about 60 on.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -78,6 +78,10 @@
 ROOM_ALONE = 2.0  # ...and so many more, while none fail, at a proxy that shares its zone with no other
 COME_BACK = 0.5  # refused clients are told to stay away for this part of the tier's latency...
 COME_BACK_MOST = 1.0  # ...and for so many seconds at most, where the settings state no other most
+CROWD_FROM = 1.75  # requests are refused by chance where they wait so many times the latency's baseline...
+CROWD_FULL = 2.5  # ...and all of them at so many times it...
+CROWD_WORTH = 0.5  # ...the dearest at so much more of both...
+CROWD_SPAN = 0.5  # ...by what was owed over so many seconds: at a proxy with few calls a moment says little
 SHARE_SPAN = 5.0  # seconds of its share that a tenant may use at once: a burst, not a surplus
 
 POOL_PROTECTION = 1.0  # requests that never count against a pool: all of a proxy's calls fill its window...
@@ -333,8 +337,8 @@
     Guards placement: every pick, first or further, comes from a list that holds open servers alone.
     """
 
-    __slots__ = ("begin", "born", "breaker", "ends", "groups", "kinds", "owed", "rate", "ready", "sent",
-                 "served", "warm_from", "warm_part", "width", "working", "zones")
+    __slots__ = ("begin", "born", "breaker", "ends", "groups", "held", "held_at", "kinds", "owed", "rate",
+                 "ready", "sent", "served", "warm_from", "warm_part", "width", "working", "zones")
 
     def __init__(self, kinds: Sequence[int] | None, zones: Sequence[int] | None) -> None:
         self.kinds = kinds
@@ -346,7 +350,8 @@
         self.groups: dict[tuple[Group, int], list[Server]] = {}  # which servers drop each other's repeats
         self.rate, self.sent, self.served = Rate(), Rate(), Rate()  # requests offered, attempts, served
         self.born = float("inf")  # when the first request came
-        self.owed = 0  # requests that a final answer is owed for
+        self.owed = 0  # requests that a final answer is owed for...
+        self.held = self.held_at = 0.0  # ...and how many they were lately, as of then
         self.breaker = Breaker()  # of requests, whichever servers they went to
         self.warm_from = float("inf")  # when the next of the cold servers is warm
         self.warm_part = 1.0
@@ -399,9 +404,10 @@
         span = (ROOM - ROOM_LEAST) / dearest
         self.alone = ROOM_ALONE if settings.balancers <= settings.zones else 0.0
         self.room = [c.aim * (ROOM_LEAST + span * c.worth) for c in settings.classes]
+        self.worth = [c.worth / dearest for c in settings.classes]
         self.pace = 0.0  # baseline of latency for each unit of cost...
         self.paced = 0  # ...and the answers behind it
-        self.accept_worth = [1.0 / (POOL_KEEPS - POOL_WORTH * c.worth / dearest) for c in settings.classes]
+        self.accept_worth = [1.0 / (POOL_KEEPS - POOL_WORTH * worth) for worth in self.worth]
         self.lengths: list[dict[int, int]] = [{} for _ in settings.classes]  # of tries, in steps of 2%...
         self.usual = [0] * len(settings.classes)  # ...and the commonest
 
@@ -619,11 +625,28 @@
         served /= 1.0 - exp(-max(age, 0.2) / 2.0)
         if pool.owed > room * served + ROOM_ALWAYS + self.alone * (1.0 - shrink):
             return False
+        if self._crowded(now, pool, kind, served):
+            return False
         if self.rng.random() < pool.breaker.error_ratio(now, self.accept_worth[kind], POOL_PROTECTION):
             pool.breaker.refused(now)
             return False
         return True
 
+    def _crowded(self, now: float, pool: Pool, kind: int, served: float) -> bool:
+        """Whether to refuse by chance as latency leaves its baseline: the design's latency term, for a tier.
+
+        Guards servers that do less the more they hold: what all proxies may hold by the aims alone is far
+        more than that, and once servers are slow the few requests that each proxy always takes keep them so.
+        Goes by requests owed over those served, which shows a stall before an answer is late. Could harm
+        where all servers are slow for another reason: they get less than they could do.
+        """
+        pool.held += (pool.owed - 1 - pool.held) * (1.0 - exp((pool.held_at - now) / CROWD_SPAN))
+        pool.held_at = now
+        if self.paced < PACED or served <= 0.0 or self.pace <= 0.0:
+            return False
+        times = pool.held / served / (self.pace * (1.0 + CROWD_WORTH * self.worth[kind]))
+        return self.rng.random() < (times - CROWD_FROM) / (CROWD_FULL - CROWD_FROM)
+
     def _worth_until(self, now: float, kind: int, deadline: float, retry: bool) -> float:
         """Until when an answer earns something.
 
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -152,6 +153,36 @@
     assert refused[1] > 0
 
 
+def test_latency_far_over_its_baseline_refuses_by_chance_before_the_room_is_full() -> None:
+    """The aim alone leaves room for seven times the baseline, at which servers hold far too much."""
+    classes = tuple(replace(row, aim=2.0) for row in (SAFE, DEAR))
+    b = balancer(Settings(classes=classes, balancers=7))
+    now, out = 100.0, list[tuple[float, str]]()
+
+    def play(latency: float, seconds: float) -> list[int]:
+        """Forty a second, half of each class, each served after so long; counts those refused."""
+        nonlocal now
+        refused = [0, 0]
+        for _ in range(int(40 * seconds)):
+            now += 1 / 40
+            while out and out[0][0] <= now:
+                end, rid = out.pop(0)
+                b.outcome(end, rid, 0, Outcome.OK, latency, True)
+            rid = f"r{round(40 * now)}"
+            kind = round(40 * now) % 2
+            if isinstance(b.request(now, rid, kind, 0, now + 4.0)[0], Send):
+                out.append((now + latency, rid))
+            else:
+                refused[kind] += 1
+        return refused
+
+    assert sum(play(0.2, 10.0)) == 0
+    cheap, dear = play(0.8, 2.0)
+    assert cheap > dear
+    play(0.2, 5.0)
+    assert sum(play(0.2, 10.0)) == 0, "it goes on refusing once the servers are quick again"
+
+
 def test_lower_tiers_never_refuse_for_overload() -> None:
     b = balancer(Settings(classes=(SAFE, DEAR), tier=1, tiers=2))
     answers = [b.request(100.0 + n / 1000, f"x{n}", 0, 0, 104.0)[0] for n in range(200)]
