--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -81,6 +81,7 @@
 CROWD_FROM = 1.75  # requests are refused by chance where they wait so many times the latency's baseline...
 CROWD_FULL = 2.5  # ...and all of them at so many times it...
 CROWD_WORTH = 0.5  # ...the dearest at so much more of both...
+CROWD_ALONE, CROWD_MANY = 2, 6  # ...not at so few proxies, which see it by themselves; in full at so many...
 CROWD_SPAN = 0.5  # ...by what was owed over so many seconds: at a proxy with few calls a moment says little
 SHARE_SPAN = 5.0  # seconds of its share that a tenant may use at once: a burst, not a surplus
 
@@ -402,6 +403,7 @@
         self.backoff = 1.0
         dearest = max(c.worth for c in settings.classes) or 1.0
         span = (ROOM - ROOM_LEAST) / dearest
+        self.crowd = min(1.0, max(0, settings.balancers - CROWD_ALONE) / (CROWD_MANY - CROWD_ALONE))
         self.alone = ROOM_ALONE if settings.balancers <= settings.zones else 0.0
         self.room = [c.aim * (ROOM_LEAST + span * c.worth) for c in settings.classes]
         self.worth = [c.worth / dearest for c in settings.classes]
@@ -638,14 +640,15 @@
         Guards servers that do less the more they hold: what all proxies may hold by the aims alone is far
         more than that, and once servers are slow the few requests that each proxy always takes keep them so.
         Goes by requests owed over those served, which shows a stall before an answer is late. Could harm
-        where all servers are slow for another reason: they get less than they could do.
+        where all servers are slow for another reason: they get less than they could do. Acts where many
+        proxies share the tier: with two or three it cost bursts more than it saved.
         """
         pool.held += (pool.owed - 1 - pool.held) * (1.0 - exp((pool.held_at - now) / CROWD_SPAN))
         pool.held_at = now
         if self.paced < PACED or served <= 0.0 or self.pace <= 0.0:
             return False
         times = pool.held / served / (self.pace * (1.0 + CROWD_WORTH * self.worth[kind]))
-        return self.rng.random() < (times - CROWD_FROM) / (CROWD_FULL - CROWD_FROM)
+        return self.rng.random() < self.crowd * min(1.0, (times - CROWD_FROM) / (CROWD_FULL - CROWD_FROM))
 
     def _worth_until(self, now: float, kind: int, deadline: float, retry: bool) -> float:
         """Until when an answer earns something.
