Notice a silent watch in half the time, and ask a returning agent soon

While nobody answers, tries were up to 3 s apart, and what the agent has at its return counts at once. Ruled out: a slow agent (0.2 to 0.5 ms to the first line). At fault: SILENT, RETRY_FIRST and RETRY_MOST in lugspur/discovery.py, and the pause shared by two addresses.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -16,8 +16,10 @@
 from lugspur.config import Address, ConfigError, read_address
 
 STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
-SILENT = 6.0  # seconds without a line after which a watch is taken for dead: one comes every 2 s
-RETRY_FIRST, RETRY_MOST = 0.1, 2.0  # seconds before a reconnect, doubling
+SILENT = 3.0  # seconds without a line after which a watch is dead: one comes every 2 s, what is missed counts at 6
+CONNECT = 0.25  # seconds that a connect may take: the agent is on this machine
+AGAIN = 0.02  # seconds before a watch that had spoken is opened anew...
+RETRY = 0.1  # ...and before another try: the agent costs nothing, and all it has counts as told when it is back
 LINE_MOST = 4 << 20  # bytes of one line
 
 
@@ -78,7 +80,6 @@
         self._told = told
         self._task: asyncio.Task[None] | None = None
         self._former: asyncio.Task[None] | None = None  # the watch at the address before, until ours tells
-        self.retry = RETRY_FIRST
 
     def open(self) -> None:
         """Start the watch; nothing happens where it runs already."""
@@ -96,7 +97,6 @@
             self._former = self._task
         else:  # Guards reloads in a row: the watch between the two has told nothing yet.
             self._task.cancel()
-        self.retry = RETRY_FIRST
         # Guards against a change that falls between two services: from version 0 the answer is everything.
         self._task = asyncio.get_running_loop().create_task(self._run(address, 0))
 
@@ -107,13 +107,12 @@
                 watched, address[0].encode()))
             await self._follow(address, watch)
             watched = self._index if watch.told else watched
-            await asyncio.sleep(self.retry * (0.5 + random.random()))
-            self.retry = min(RETRY_MOST, 2.0 * self.retry)
+            await asyncio.sleep((AGAIN if watch.spoke else RETRY) * (0.5 + random.random()))
 
     async def _follow(self, address: Address, watch: _Watch) -> None:
         """One watch, until it ends."""
         try:
-            async with asyncio.timeout(SILENT):
+            async with asyncio.timeout(CONNECT):
                 await asyncio.get_running_loop().create_connection(lambda: watch, *address)
             await watch.ended
         except OSError:
@@ -125,14 +124,13 @@
         """One line of a watch; an empty one tells only that it lives."""
         if watch.task is not self._task and watch.task is not self._former:
             return  # Guards the list against a watch that has been replaced and is not closed yet.
+        watch.spoke = True
         if not text.strip():
-            self.retry = RETRY_FIRST
             self._told(ListKind.PATCH, [])
             return
         message = orjson.loads(text)
         endpoints = self._reader.endpoints(message)
         index = int(message["index"])
-        self.retry = RETRY_FIRST
         former = self._former
         if former is not None and watch.task is not former:
             former.cancel()
@@ -150,7 +148,8 @@
         self._request = request
         self._transport: asyncio.Transport | None = None
         self.task = asyncio.current_task()  # the one that keeps it
-        self.told = False  # whether it has told anything of the list
+        self.spoke = False  # whether it has said anything...
+        self.told = False  # ...and anything of the list
         self._parser = httptools.HttpResponseParser(self)
         self._loop = asyncio.get_running_loop()
         self._buffer = b""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from typing import Any, TypeVar
@@ -48,6 +49,32 @@
             await asyncio.sleep(0.001)
 
 
+class Clock:
+    """The running loop's time, which stands still until it is moved: timers fall due when a test says so."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.now = loop.time()
+        loop.time = lambda: self.now  # type: ignore[method-assign]
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Wait for something to come over the sockets; no timer falls due meanwhile."""
+        end = time.monotonic() + WIDE
+        while not holds():
+            assert time.monotonic() < end, "it did not come"
+            await asyncio.sleep(0)
+
+    async def settle(self) -> None:
+        """Let all that is due, and all that is on its way on loopback, be seen."""
+        for _ in range(100):
+            await asyncio.sleep(0)
+
+    async def move(self, seconds: float) -> None:
+        """Let so much time pass at once."""
+        self.now += seconds
+        await self.settle()
+
+
 async def read_message(reader: asyncio.StreamReader) -> bytes:
     """One message with a Content-Length, or none, as it came."""
     head = await reader.readuntil(b"\r\n\r\n")
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,45 @@
+"""The watch on discovery on loopback sockets: silence, resets, restarts, and what it tells."""
+
+from __future__ import annotations
+
+import asyncio
+
+from loopback import HOST, Clock, entry, running, watches
+
+BEAT = 2.0  # seconds between two empty lines, by the protocol
+COUNTS = 6.0  # seconds after a watch fell silent at which what it misses counts as told
+GRACE = 0.25  # seconds from being told that a server drains in which it may still get something
+
+
+def test_a_silent_watch_is_opened_anew_with_time_for_another_try() -> None:
+    async def play() -> None:
+        async with watches() as registry:
+            clock = Clock()
+            async with running([], discovery=registry.port) as up:
+                await clock.until(lambda: registry.asked.qsize() == 1)
+                registry.say(8, [entry("a", f"{HOST}:1")])
+                await clock.until(lambda: up.proxy.front.ready)
+                await clock.move(BEAT)
+                assert registry.ended.empty()  # a line is due only now
+                await clock.move(COUNTS / 2.0 - BEAT)  # the first half of the time is for noticing
+                await clock.until(lambda: registry.ended.qsize() == 1)
+                await clock.move(GRACE / 2.0)
+                await clock.until(lambda: registry.asked.qsize() == 2)
+
+    asyncio.run(play())
+
+
+def test_what_an_agent_tells_on_its_return_is_soon_heard() -> None:
+    async def play() -> None:
+        async with watches() as registry:
+            port = registry.port
+        clock = Clock()
+        async with running([], discovery=port):  # nobody is there
+            for _ in range(40):
+                await clock.move(GRACE)
+            server = await asyncio.start_server(registry.serve, HOST, port)
+            await clock.move(GRACE)
+            await clock.until(lambda: registry.asked.qsize() == 1)
+            server.close()
+
+    asyncio.run(play())
