Read lists that come indented, over several lines

Ruled out: indentation of an object on one line (read before). The tests with indents of 0 and 2 fail without the mend.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -16,10 +16,10 @@
 from lugspur.config import Address, ConfigError, read_address
 
 STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
-SILENT = 3.0  # seconds without a line after which a watch is dead: one comes every 2 s, what is missed counts at 6
+SILENT = 3.0  # seconds without a line after which a watch is dead: one comes every 2 s, and 6 s are all
 CONNECT = 0.25  # seconds that a connect may take: the agent is on this machine
 AGAIN = 0.02  # seconds before a watch that had spoken is opened anew...
-RETRY = 0.1  # ...and before another try: the agent costs nothing, and all it has counts as told when it is back
+RETRY = 0.1  # ...and before another try: it costs nothing, and what an agent has on return counts at once
 LINE_MOST = 4 << 20  # bytes of one line
 
 
@@ -103,7 +103,7 @@
     async def _run(self, address: Address, index: int) -> None:
         watched = index
         while True:
-            watch = _Watch(self.line, b"GET /v1/servers?follow=1&since=%d HTTP/1.1\r\nHost: %b\r\n\r\n" % (
+            watch = _Watch(self.message, b"GET /v1/servers?follow=1&since=%d HTTP/1.1\r\nHost: %b\r\n\r\n" % (
                 watched, address[0].encode()))
             await self._follow(address, watch)
             watched = self._index if watch.told else watched
@@ -120,15 +120,14 @@
         finally:
             watch.close()
 
-    def line(self, watch: _Watch, text: bytes) -> None:
-        """One line of a watch; an empty one tells only that it lives."""
+    def message(self, watch: _Watch, message: Mapping[str, Any] | None) -> None:
+        """One object of a watch; None tells only that it lives."""
         if watch.task is not self._task and watch.task is not self._former:
             return  # Guards the list against a watch that has been replaced and is not closed yet.
         watch.spoke = True
-        if not text.strip():
+        if message is None:
             self._told(ListKind.PATCH, [])
             return
-        message = orjson.loads(text)
         endpoints = self._reader.endpoints(message)
         index = int(message["index"])
         former = self._former
@@ -143,8 +142,10 @@
 class _Watch(asyncio.Protocol):
     """The connection of one watch."""
 
-    def __init__(self, line: Callable[[_Watch, bytes], None], request: bytes) -> None:
-        self._line = line
+    def __init__(
+        self, tell: Callable[[_Watch, Mapping[str, Any] | None], None], request: bytes
+    ) -> None:
+        self._tell = tell
         self._request = request
         self._transport: asyncio.Transport | None = None
         self.task = asyncio.current_task()  # the one that keeps it
@@ -154,6 +155,7 @@
         self._loop = asyncio.get_running_loop()
         self._buffer = b""
         self._body: list[bytes] = []
+        self._object = b""  # the lines of one that is not whole
         self.ended = self._loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -192,10 +194,31 @@
             return
         *lines, self._buffer = b"".join([self._buffer, *self._body]).split(b"\n")
         self._body.clear()
-        if len(self._buffer) > LINE_MOST:  # Guards the memory limit against a line that never ends.
-            raise ValueError("a line is too long")
         for text in lines:
-            self._line(self, text)
+            self._line(text)
+        # Guards the memory limit against a line or an object that never ends.
+        if len(self._buffer) + len(self._object) > LINE_MOST:
+            raise ValueError("an object is too long")
+
+    def _line(self, text: bytes) -> None:
+        """One line: empty where nothing has changed, else an object, or part of an indented one."""
+        if not text.strip():
+            if self._object:
+                raise ValueError("an object breaks off")
+            self._tell(self, None)
+            return
+        begins = not self._object
+        self._object += text + b"\n"
+        if not begins and not text.rstrip().endswith(b"}"):  # Guards the core: a list has many lines.
+            return
+        try:
+            message = orjson.loads(self._object)
+        except orjson.JSONDecodeError as fault:
+            if fault.pos < len(self._object.decode().rstrip()):
+                raise  # no further line mends it
+            return
+        self._object = b""
+        self._tell(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._silence.cancel()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -147,11 +147,17 @@
         writer.close()
         self.ended.put_nowait(None)
 
-    def say(self, index: int, entries: list[dict[str, Any]], snapshot: bool = False) -> None:
-        """One line of the watch that is open, cut in two chunks."""
+    def say(
+        self, index: int, entries: list[dict[str, Any]], snapshot: bool = False, indent: int | None = None
+    ) -> None:
+        """One object of the watch that is open, on one line or indented."""
+        message = {"index": index, "snapshot": snapshot, "endpoints": entries}
+        self.write(json.dumps(message, indent=indent).encode() + b"\n")
+
+    def write(self, line: bytes) -> None:
+        """Bytes of the watch that is open, cut in two chunks."""
         assert self.writer is not None
-        line = json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries}).encode() + b"\n"
-        for part in (line[:9], line[9:]):
+        for part in filter(None, (line[:9], line[9:])):
             self.writer.write(b"%x\r\n%b\r\n" % (len(part), part))
 
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from loopback import HOST, Clock, entry, running, watches
+import pytest
+from loopback import HOST, Clock, entry, running, soon, until, watches
 
 BEAT = 2.0  # seconds between two empty lines, by the protocol
 COUNTS = 6.0  # seconds after a watch fell silent at which what it misses counts as told
@@ -43,3 +44,33 @@
             server.close()
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("indent", [None, 0, 2])
+def test_lists_may_come_indented(indent: int | None) -> None:
+    async def play() -> None:
+        async with watches() as registry, running([], discovery=registry.port) as up:
+            await soon(registry.asked.get())
+            registry.write(b"\n")
+            registry.say(8, [entry("a", f"{HOST}:1"), entry("b", f"{HOST}:2")], True, indent)
+            await until(lambda: len(up.proxy._backends) == 2)
+            registry.write(b"\n")
+            registry.say(9, [], False, indent)
+            registry.say(10, [entry("a", f"{HOST}:1", "terminated")], False, indent)
+            await until(lambda: len(up.proxy._backends) == 1)
+            assert registry.ended.empty()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("bad", [b"nonsense\n", b'{"index":9,\n{"index":10}\n', b'{"index":9,\n\n', b"[]\n"])
+def test_a_list_that_can_not_be_read_renews_the_watch(bad: bytes) -> None:
+    async def play() -> None:
+        async with watches() as registry, running([], discovery=registry.port) as up:
+            await soon(registry.asked.get())
+            registry.say(8, [entry("a", f"{HOST}:1")])
+            registry.write(bad)
+            assert await soon(registry.asked.get()) == "/v1/servers?follow=1&since=8"
+            assert len(up.proxy._backends) == 1
+
+    asyncio.run(play())
