Accept no connection before the agent has told its list

Ruled out: clients that followed /healthz (it said 503 until the list had come). At fault: serve() in lugspur/__main__.py listened at once. Connections now queue in the kernel until the first word, or for 0.3 s where discovery is down: with 1 s queued requests would end late.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -28,6 +28,9 @@
     proxy = Proxy(config)
     front = proxy.front
     loop.add_signal_handler(signal.SIGHUP, reload, proxy)
+    front.bind()
+    # Guards drains from before this process: the agent has them, and the list known at the start may not.
+    await proxy.loaded.wait()
     listener = await front.listen()
     gc.collect()
     gc.freeze()
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -33,7 +33,7 @@
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
 RETRIABLE = (408, 429)  # 4xx that are not the request's fault
 COMPLAIN_EVERY = 1.0  # seconds between two tracebacks in the log
-KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves
+KNOWN_AFTER = 0.3  # seconds without a word from discovery after which the list known at the start serves
 
 
 class Call:
@@ -85,13 +85,14 @@
         self._discovery = discovery.Discovery(
             config.discovery, reader, config.known["index"], self._told
         )
+        self.loaded = asyncio.Event()  # the list was told, or nobody is there to tell it
         self._members(ListKind.STALE, reader.endpoints(config.known))
         self._perform(self._decide(self._balancer.start))
         if config.settings.discovery is Discovery.PUSHED:
             self._discovery.open()
-        if config.known["endpoints"]:
-            # Guards against a discovery that is down at the start: an old list serves better than none.
-            self._loop.call_later(KNOWN_AFTER, self._loaded)
+        # Guards against a discovery that is down at the start: an old list serves better than none.
+        wait = self._loaded if config.known["endpoints"] else self.loaded.set
+        self._loop.call_later(KNOWN_AFTER, wait)
 
     def reload(self, config: Config) -> None:
         """Take over what a new configuration may change while the proxy runs: where discovery is."""
@@ -129,6 +130,7 @@
 
     def _loaded(self) -> None:
         self.front.ready = True
+        self.loaded.set()
 
     def _members(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
         listed = {endpoint.row.server for endpoint in endpoints}
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -66,6 +66,7 @@
         self.idle: dict[Caller, float] = {}  # between two requests
         self.reading: dict[Caller, float] = {}  # a part of a request has come
         self.last_accept = 0.0
+        self._listener: socket.socket | None = None
         self._loop = asyncio.get_running_loop()
         self._loop.call_later(SWEEP, self._sweep)
 
@@ -73,14 +74,19 @@
         """Whether requests should be sent here."""
         return self.ready and self.serving
 
-    async def listen(self) -> socket.socket:
-        """Serve on the given address alone."""
-        loop = asyncio.get_running_loop()
-        sock = socket.socket()
+    def bind(self) -> socket.socket:
+        """Let connections to the given address, and to it alone, queue until `listen` takes them."""
+        sock = self._listener = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         sock.bind(self.config.listen)
-        self._server = await loop.create_server(lambda: Caller(self), sock=sock, backlog=ACCEPTS)
+        sock.listen(BACKLOG)
+        return sock
+
+    async def listen(self) -> socket.socket:
+        """Serve."""
+        sock = self._listener or self.bind()
+        self._server = await self._loop.create_server(lambda: Caller(self), sock=sock, backlog=ACCEPTS)
         sock.listen(BACKLOG)
         self.serving = True
         return sock
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
@@ -179,6 +180,13 @@
             "weight": 1.0, "since_ms": since_ms}
 
 
+def free_port() -> int:
+    """A port that nobody has."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return int(sock.getsockname()[1])
+
+
 def config(entries: list[dict[str, Any]], discovery: int = 9, **changed: Any) -> Config:
     """A proxy's configuration; by default nobody is at discovery's port."""
     settings: Settings = read_settings(WIRE)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -22,6 +22,7 @@
     book,
     config,
     entry,
+    free_port,
     read,
     running,
     soon,
@@ -268,12 +269,6 @@
     return {**os.environ, "RELAY_CONFIG": str(path), "RELAY_LISTEN": listen, "RELAY_DISCOVERY": discovery}
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
-
-
 async def connect(port: int) -> Client:
     return Client(*await asyncio.open_connection(HOST, port))
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -3,15 +3,41 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 
 import pytest
-from loopback import HOST, Clock, entry, running, soon, until, watches
+from loopback import (
+    HOST,
+    OK,
+    Client,
+    Clock,
+    backend,
+    book,
+    config,
+    entry,
+    free_port,
+    running,
+    soon,
+    status,
+    until,
+    watches,
+)
+
+from lugspur.__main__ import serve
 
 BEAT = 2.0  # seconds between two empty lines, by the protocol
 COUNTS = 6.0  # seconds after a watch fell silent at which what it misses counts as told
 GRACE = 0.25  # seconds from being told that a server drains in which it may still get something
 
 
+async def connected(clock: Clock, port: int) -> Client:
+    """A connection to a proxy that may not accept yet."""
+    opening = asyncio.ensure_future(asyncio.open_connection(HOST, port))
+    await clock.until(opening.done)
+    return Client(*opening.result())
+
+
 def test_a_silent_watch_is_opened_anew_with_time_for_another_try() -> None:
     async def play() -> None:
         async with watches() as registry:
@@ -74,3 +100,33 @@
             assert len(up.proxy._backends) == 1
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_nothing_is_taken_up_before_the_agent_has_told_its_list(told: bool) -> None:
+    async def play() -> None:
+        async with watches() as registry, backend(lambda _: OK) as one, backend(lambda _: OK) as two:
+            port = free_port()
+            clock = Clock()
+            known = [entry("a", one.address)]
+            proxy = asyncio.create_task(serve(config(known, registry.port, listen=(HOST, port))))
+            await clock.until(lambda: registry.asked.qsize() == 1)
+            client = await connected(clock, port)
+            client.writer.write(book())
+            await clock.settle()
+            assert one.got.empty()
+            if told:
+                # What the agent has counts as told from the first moment.
+                registry.say(8, [entry("a", one.address, "terminating"), entry("b", two.address)])
+                await clock.until(lambda: two.got.qsize() == 1)
+                assert one.got.empty()
+            else:  # discovery is down
+                await clock.move(0.5)
+                await clock.until(lambda: one.got.qsize() == 1)
+            assert status(await client.answer()) == 200
+            os.kill(os.getpid(), signal.SIGTERM)
+            while not proxy.done():
+                await clock.move(0.1)
+            await proxy
+
+    asyncio.run(play())
