Go on reading while a request waits, so that its caller's leaving is seen

Seen in review, proven by forced crossings on sockets: with a request behind the open one, reading was paused (Caller._next in lugspur/server.py), so a close or a reset was not seen until the answer: the dial that came up later was used, and what had waited behind was sent on for nobody. Ruled out: plain closes and resets during a dial, a retry and before a copy, first and later tier (all seen at once).

--- a/lugspur/intake.py
+++ b/lugspur/intake.py
@@ -26,6 +26,10 @@
         self.status = status
         self.reason = reason
 
+    def size(self) -> int:
+        """Bytes that it holds while it waits."""
+        return 0
+
 
 @dataclass(slots=True)
 class Request:
@@ -39,6 +43,10 @@
     arrived: float
     keep_alive: bool
 
+    def size(self) -> int:
+        """Bytes that it holds while it waits."""
+        return len(self.target) + len(self.lines) + len(self.body)
+
 
 class Intake:
     """The parser of one connection: whole requests are delivered, the first fault is kept and ends it."""
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -236,15 +236,20 @@
             return
         intake, front = self._intake, self._front
         intake.feed(front.buffer[:nbytes], self._loop.time())
-        self._hold(intake.held())
-        if self._held and front.held > front.held_most:  # Guards the memory limit against many half bodies.
+        waiting = self._queue if self._busy or self._stuck else ()
+        self._hold(intake.held() + sum(request.size() for request in waiting))
+        # Guards the memory limit against many half bodies and many requests that wait behind another.
+        if self._held and front.held > front.held_most:
             intake.fault = Rejected(503, "too many bodies at once")
+            if waiting:
+                self._queue.clear()
         if len(self._queue) > PIPELINE_MOST:  # Guards memory and backends against floods on one connection.
             self._queue.clear()
             intake.fault = Rejected(400, "too many requests at once")
         if intake.fault is not None:
             self._faulty = True
             self._queue.append(intake.fault)
+            self._hold(intake.held())
         if self._queue:
             self._next()
         elif intake.reading and not self._busy and self._place is not front.reading:
@@ -258,9 +263,11 @@
     # ---- requests and answers --------------------------------------------------------------
 
     def _next(self) -> None:
-        """Take up the next request, unless one is still unanswered or its answer unread."""
+        """Take up the next request, unless one is still unanswered or its answer unread.
+
+        Reading goes on all the while: nothing else tells that the caller leaves.
+        """
         if self._busy or self._stuck:
-            self._transport.pause_reading()  # Guards memory: a caller may not pile up requests unread.
             return
         request = self._queue.popleft()
         if isinstance(request, Rejected):
@@ -302,7 +309,6 @@
         self._write(fault.status, b"", fault.reason.encode() + b"\n", False)
         self._move(self._front.leaving, self._loop.time() + LINGER)
         # Guards the answer against a reset: what still comes is read until the caller closes.
-        self._transport.resume_reading()
         self._transport.write_eof()
 
     def answer(self, status: int, head: bytes, body: bytes) -> None:
@@ -320,13 +326,9 @@
             self._move(front.reading, now + WHOLE_WITHIN)
         else:
             self._move(front.idle, now + (IDLE_MOST if self._used else IDLE_LEAST))
-        if not self._stuck:
-            self._transport.resume_reading()
-            if self._queue:
-                self._loop.call_soon(self._resume)
+        if self._queue and not self._stuck:
+            self._loop.call_soon(self._resume)
 
     def _resume(self) -> None:
-        if not self._queue:
-            self._transport.resume_reading()
-        elif not self._busy:
+        if self._queue:
             self._next()
