Send nothing for a request that is over, also where cancels are not allowed

Seen in review: where Bounds.Cancel is false the module names nothing to cancel, and Proxy._gone and Proxy._outcome left a dial running, so its request was written after its end. WIRE calls such an attempt void: never sent. Ruled out: attempts that are out, which such settings leave alone.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -174,6 +174,14 @@
     def _gone(self, call: Call) -> None:
         self._settle(call)
         self._perform(self._decide(self._balancer.gone, call.rid, call=call))
+        self._unsend(call)
+
+    def _unsend(self, call: Call) -> None:
+        """Send nothing more for a request that is over; cancels, if allowed, are for what is out."""
+        if call.caller is None:
+            for exchange in tuple(call.exchanges):
+                if exchange.connection is None:
+                    exchange.end(Outcome.VOID)
 
     def _overdue(self, call: Call) -> None:
         """The client's time is up: an answer is owed now, whatever the module says."""
@@ -274,3 +282,4 @@
             self._balancer.outcome, call.rid, number, outcome, now - exchange.started, call.caller is None,
             call=call,
         ))
+        self._unsend(call)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -30,7 +30,7 @@
 from jaspershelf.model import Settings
 
 TIERS = {"first": {"Tier": 0, "Tiers": ["a", "b"]}, "later": {"Tier": 1, "Tiers": ["a", "b"]}}
-CANCELS = {"cancels": True}
+CANCELS = {"cancels": True, "no cancels": False}
 
 
 def settings(tier: str, cancels: str = "cancels", **bounds: Any) -> Settings:
