Let a connection rest for 10 ms behind its answer before it is used again

Ruled out: telling answers apart by body (it does not name the request) or by time (errors come as fast). At fault: Upstream.start in lugspur/upstream.py used a kept connection at once. The test of the most recent connection now looks after the rest: within it, the one that rested longest is taken. The forced crossings fail without the mend.

--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -29,6 +29,7 @@
 BROKEN_HALF = 10.0  # ...and after so many seconds what was seen counts half
 FRESH = 1.0  # seconds after its last answer in which a connection carries what must not run twice...
 PROOF = 5.0  # ...or as long as so many that had been idle for as long, or longer, were used again and held
+REST = 0.01  # seconds after an answer in which something may come behind it: a second one, or a close
 STALL = 0.1  # seconds between two pieces of an answer: it comes in one go, and a second try needs about 0.2
 HOP_BY_HOP = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -392,14 +393,47 @@
         if not exchange.repeatable:
             most = self.keeping.most(now, BROKEN_ONCE)
             oldest = now - min(max(FRESH, self.keeping.proven()), most)
-        while idle and (exchange.repeatable or idle[-1].idle_since >= oldest):
-            connection = idle.pop()
-            del self._idle[connection]
-            if connection.idle_since >= oldest and connection.usable():
+        resting: Connection | None = None
+        for connection in reversed(idle.copy()):
+            fits = connection.idle_since >= oldest
+            if not fits and not exchange.repeatable:
+                break
+            if fits and now - connection.idle_since < REST:
+                resting = connection  # the last one has rested longest
+                continue
+            self._forget(connection)
+            if fits and connection.usable():
                 connection.reuse(now)
                 self._transmit(exchange, connection)
                 return
             connection.abandon()
+        if resting is not None:
+            self._forget(resting)
+            exchange.dial = self._loop.create_task(self._rest(exchange, resting))
+        else:
+            self._connect(exchange)
+
+    async def _rest(self, exchange: Exchange, connection: Connection) -> None:
+        """Let a connection that has just answered rest, then send on it, or on a new one.
+
+        Guards the next request against a second answer that comes late, which would be taken for its own.
+        A moment is less than a handshake.
+        """
+        try:
+            await asyncio.sleep(connection.idle_since + REST - self._loop.time())
+        except asyncio.CancelledError:
+            self.release(connection)
+            raise
+        exchange.dial = None
+        if connection.usable():
+            connection.reuse(self._loop.time())
+            self._transmit(exchange, connection)
+        else:
+            connection.abandon()
+            self._connect(exchange)
+
+    def _connect(self, exchange: Exchange) -> None:
+        """Dial for an attempt, if there is room."""
         if self._dialling + self._connected >= self._most:
             # Guards the limit on sockets: idle ones make room, else it never ran and may go elsewhere.
             if not self._idle:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
-from loopback import OK, Gate, backend, book, entry, running, soon, status, until
+from loopback import OK, Clock, Gate, backend, book, entry, read, running, soon, status, until
 
 
 @pytest.mark.parametrize("told", ["moved", "restarted", "back"])
@@ -52,3 +53,57 @@
                 assert b"id1" in await soon(two.got.get()) and one.got.empty()
 
     asyncio.run(play())
+
+
+LATE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+
+
+@pytest.mark.parametrize("comes", ["answer", "close", "nothing"])
+@pytest.mark.parametrize("ask", [book, read])
+def test_what_comes_late_behind_an_answer_does_not_meet_the_next_request(comes: str, ask: Any) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            clock = Clock()
+            async with running([entry("a", one.address)]) as up:
+                client = await up.client()
+                assert status(await client.ask(ask(1))) == 200
+                client.writer.write(ask(2))
+                await clock.until(lambda: len(up.proxy._calls) == 1)
+                await clock.move(0.004)
+                if comes == "answer":
+                    one.open[0].write(LATE)
+                elif comes == "close":
+                    one.open[0].close()
+                if comes != "nothing":
+                    await clock.until(lambda: up.proxy._upstream._connected == 0)
+                assert one.got.qsize() == 1
+                await clock.move(0.01)
+                assert (await client.answer()).endswith(b"done")
+                assert one.got.qsize() == 2 and len(one.open) == (1 if comes == "nothing" else 2)
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("crosses", ["left", "drained", "late"])
+def test_nothing_is_sent_on_a_rested_connection_when_the_world_moved_on(crosses: str) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
+            clock = Clock()
+            async with running([entry("a", one.address)]) as up:
+                client = await up.client()
+                assert status(await client.ask(book(1))) == 200
+                client.writer.write(book(2, timeout="0.01" if crosses == "late" else "30"))
+                await clock.until(lambda: len(up.proxy._calls) == 1)
+                up.tell([entry("b", two.address)])
+                if crosses == "left":
+                    client.writer.close()
+                    await clock.until(lambda: not up.proxy._calls)
+                elif crosses == "drained":
+                    up.tell([entry("a", one.address, "terminating")])
+                await clock.move(0.02)
+                await clock.until(lambda: not up.proxy._calls)
+                assert one.got.qsize() == 1 and two.got.qsize() == (crosses == "drained")
+                if crosses != "left":
+                    assert status(await client.answer()) == (200 if crosses == "drained" else 503)
+
+    asyncio.run(play())
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -400,6 +400,8 @@
             for _ in range(2):
                 assert await soon(exchanges.ended.get()) is Outcome.OK
             [older, newer] = exchanges.known.idle
+            for connection in (older, newer):
+                connection.idle_since -= upstream.REST
             exchanges.start()
             assert exchanges.known.idle == [older]
             assert await soon(exchanges.ended.get()) is Outcome.OK
