Answer what becomes whole late in a drain before SIGKILL may come

Idle connections are closed by then, but one with half a request stays open up to 2 s, and what it completes got its whole time (Proxy._request), longer than the proxy may live. Ruled out by forced crossings (dialling, sent, half read, half answered at SIGTERM): all passed before.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -16,6 +16,9 @@
 
 LISTEN_LEAST, LISTEN_MOST = 0.45, 0.6  # seconds after SIGTERM in which new connections are still taken...
 LISTEN_QUIET = 0.1  # ...until none has come for so long
+KILL_AFTER = 0.7  # seconds after SIGTERM and the longest deadline at which SIGKILL may come...
+KILL_LONGEST = 3.0  # ...the deadline counted as this where it is longer
+KILL_MARGIN = 0.1  # seconds before that by which what was taken late is answered
 CLOSE_AFTER = 0.02  # seconds in which what has just been accepted can still be read
 
 
@@ -61,6 +64,9 @@
         await asyncio.sleep(0.02)
     await front.stop_listening(listener)
     await asyncio.sleep(CLOSE_AFTER)
+    # Guards requests whose last byte comes only from here on: SIGKILL may come before their time is up.
+    longest = max(row.deadline for row in front.config.settings.classes)
+    front.ending = begun + min(longest, KILL_LONGEST) + KILL_AFTER - KILL_MARGIN
     front.close()
     while front.callers:
         await asyncio.sleep(0.01)
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -160,7 +160,7 @@
         if name in self._open:  # Guards against a second request that backends would take for the first.
             raise Rejected(409, "a request with this id is open")
         self._open.add(name)
-        deadline = request.arrived + facts.timeout - ANSWER_EARLY
+        deadline = min(request.arrived + facts.timeout, self.front.ending) - ANSWER_EARLY
         self._count += 1
         call = Call(str(self._count), request, facts, caller, deadline)
         self._calls[call.rid] = call
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
+from math import inf
 
 from jaspershelf.model import Repeat
 from lugspur.config import Config
@@ -56,6 +57,7 @@
         self.ready = False  # the list is loaded
         self.serving = False  # the listener accepts, and is to go on
         self.closing = False
+        self.ending = inf  # the loop's time by which what is taken from now on needs its answer
         self.held = 0  # bytes of bodies that are not whole
         self.held_most = int(HELD_PART * config.memory)
         self.buffer = memoryview(bytearray(READ))
