Answer what waits behind another request when a drain begins

Seen in review: Caller.answer in lugspur/server.py cleared the queue with the first answer after SIGTERM, and the whole requests in it got none. Ruled out: the same without a drain (test_split_kept_and_back_to_back_requests). The forced crossing (state queued) fails without the mend.

--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -56,7 +56,7 @@
         self.most = most
         self.ready = False  # the list is loaded
         self.serving = False  # the listener accepts, and is to go on
-        self.closing = False
+        self.closed = inf  # the loop's time from which answers close their connection
         self.ending = inf  # the loop's time by which what is taken from now on needs its answer
         self.held = 0  # bytes of bodies that are not whole
         self.held_most = int(HELD_PART * config.memory)
@@ -108,7 +108,7 @@
 
     def close(self) -> None:
         """From here on answers close their connection; those that wait for nothing are closed now."""
-        self.closing = True
+        self.closed = self._loop.time()
         for caller in (*self.fresh, *self.idle):
             caller.close()
 
@@ -317,7 +317,7 @@
         """Write the one final answer of the request that is being served."""
         self.gone = None
         self._busy = False
-        keep = self._keep_alive and not self._front.closing
+        keep = self._keep_alive and self._goes_on()
         self._write(status, head, body, keep)
         if not keep:
             self._queue.clear()
@@ -331,6 +331,13 @@
         if self._queue and not self._stuck:
             self._loop.call_soon(self._resume)
 
+    def _goes_on(self) -> bool:
+        """Whether more is answered on this connection: while the proxy ends, only what had come before."""
+        if self._front.closed == inf:
+            return True
+        waiting = self._queue[0] if self._queue else None
+        return isinstance(waiting, Request) and waiting.arrived < self._front.closed
+
     def _resume(self) -> None:
         if self._queue:
             self._next()
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from loopback import HOST, OK, Client, Clock, backend, book, config, entry, status
+from loopback import HOST, OK, Client, Clock, backend, book, config, entry, read, status
 
 from lugspur.__main__ import drain
 from lugspur.proxy import Proxy
@@ -77,7 +77,7 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize("state", ["dialling", "sent", "half answered", "half read"])
+@pytest.mark.parametrize("state", ["dialling", "sent", "half answered", "half read", "queued"])
 def test_a_drain_answers_what_was_taken_and_lets_go(state: str, monkeypatch: pytest.MonkeyPatch) -> None:
     async def play() -> None:
         async with backend(lambda _: OK[:-2] if state == "half answered" else None) as one:
@@ -94,6 +94,8 @@
             if state == "dialling":
                 monkeypatch.setattr(loop, "create_connection", slow)
             request = book(1)
+            if state == "queued":
+                request += read(2)
             client.writer.write(request[:-2] if state == "half read" else request)
             if state == "dialling":
                 await ending.clock.until(lambda: bool(ending.proxy._calls))
@@ -112,8 +114,16 @@
             await ending.clock.until(lambda: one.got.qsize() == 1)
             one.open[0].write(OK[-2:] if state == "half answered" else OK)
             answer = await answered(ending, client)
+            if state == "queued":  # what came behind it before the end is owed an answer too
+                assert status(answer) == 200 and b"Connection: close\r\n" not in answer
+                client.writer.write(read(3))  # what comes now is not taken any more
+                await ending.clock.settle()
+                await ending.clock.move(0.02)  # the connection has rested
+                await ending.clock.until(lambda: one.got.qsize() == 2)
+                one.open[0].write(OK)
+                answer = await answered(ending, client)
             assert status(answer) == 200 and b"Connection: close\r\n" in answer
             await ending.end()
-            assert not ending.proxy._calls and one.got.qsize() == 1
+            assert not ending.proxy._calls and one.got.qsize() == (2 if state == "queued" else 1)
 
     asyncio.run(play())
