--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -411,6 +411,8 @@
         self.pace = 0.0  # baseline of latency for each unit of cost...
         self.paced = 0  # ...and the answers behind it
         self.mean = self.calm = 0.0  # mean latency of late, and the baseline of that
+        self.took = [0.0] * len(settings.classes)  # mean latency of each class of late...
+        self.answers = [0] * len(settings.classes)  # ...and the answers behind it
         self.accept_worth = [1.0 / (POOL_KEEPS - POOL_WORTH * worth) for worth in self.worth]
         self.lengths: list[dict[int, int]] = [{} for _ in settings.classes]  # of tries, in steps of 2%...
         self.usual = [0] * len(settings.classes)  # ...and the commonest
@@ -619,7 +621,11 @@
             return True
         pool = self.pool_of[kind]
         shrink = min(1.0, ROOM_SLOPE * pool.breaker.failed_part(now))
-        room = (1.0 - (1.0 - ROOM_LOST) * shrink) * self.room[kind]
+        # Guards classes of short work against the long work of others: what is owed over what is served is a
+        # mean of all, and a class that takes a part of that waits a part of it.
+        took = self.took[kind] if self.paced >= PACED else 0.0
+        longer = max(1.0, self.mean / took) if took > 0.0 else 1.0
+        room = (1.0 - (1.0 - ROOM_LOST) * shrink) * self.room[kind] * longer
         if over:
             room *= 1.0 - (1.0 - self.settings.over_share_worth) * shrink
         age = now - pool.born
@@ -862,6 +868,8 @@
             gap = latency / request.cost - self.pace
             self.pace += gap / (4.0 if gap < 0.0 else 100.0) if self.paced else gap
             self.paced += 1
+            self.answers[request.kind] = seen = min(self.answers[request.kind] + 1, MEAN_OVER)
+            self.took[request.kind] += (latency - self.took[request.kind]) / seen
             self.mean += (latency - self.mean) / min(self.paced, MEAN_OVER)
             gap = self.mean - self.calm
             self.calm += gap / (4.0 if gap < 0.0 else 100.0) if self.paced > PACED else gap
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -205,6 +205,25 @@
     assert refused < 40, refused
 
 
+def test_long_work_of_one_class_holds_no_room_of_short_work() -> None:
+    short, long = replace(SAFE, aim=0.75, worth=5.0), replace(DEAR, aim=3.0, deadline=8.0, worth=8.0)
+    b = balancer(Settings(classes=(short, long), balancers=2))
+    out: list[tuple[float, str, float]] = []
+    refused = [0, 0]
+    for n in range(1200):  # forty a second, three quarters of them short; each ends well within its aim
+        now = 100.0 + n / 40
+        while out and out[0][0] <= now:
+            end, rid, latency = heappop(out)
+            b.outcome(end, rid, 0, Outcome.OK, latency, True)
+        kind = int(n % 4 == 0)
+        latency = 2.4 if kind else 0.1
+        if isinstance(b.request(now, f"r{n}", kind, 0, now + 2.0 + 6.0 * kind)[0], Send):
+            heappush(out, (now + latency, f"r{n}", latency))
+        elif n > 200:  # by then each class has been served for a while
+            refused[kind] += 1
+    assert sum(refused) < 12, refused
+
+
 def test_lower_tiers_never_refuse_for_overload() -> None:
     b = balancer(Settings(classes=(SAFE, DEAR), tier=1, tiers=2))
     answers = [b.request(100.0 + n / 1000, f"x{n}", 0, 0, 104.0)[0] for n in range(200)]
