Keep no more idle connections than a proxy's part of what servers bear

Counters of each proxy by second: 5,605 of some 5,624 connections that the core servers accept were taken, 5,376 of them idle; 200 to 530 attempts a second were turned away at once, each after a handshake, and the front's work on those calls was lost with them.

Cause: Upstream.release kept two idle connections to every backend ever called, for half of ConnIdle, whatever the number of proxies that do the same.

Change: Upstream.share tells the pool how many proxies share how many backends; it keeps its part of eight idle ones to a backend, or as many as were in use at once lately. The longest idle go first.

The four new cases fail without it.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -144,6 +144,7 @@
                 continue
             backend = self._backends.setdefault(row.server, upstream.Backend(endpoint.address))
             self._upstream.update(backend, endpoint.address, row.started, row.state is State.UP)
+        self._upstream.share(len(self._backends), self._balancer.settings.balancers)
         self._perform(self._decide(self._balancer.members, kind, [endpoint.row for endpoint in endpoints]))
 
     def _remove(self, server: int) -> None:
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -21,7 +21,9 @@
 INFORMED_MOST = 16  # 1xx answers ahead of one
 READ = 64 << 10  # bytes read in one go, into one buffer that all connections share
 IDLE_PART = 0.5  # of the time after which backends close idle connections: ours go well before
-IDLE_EACH = 2  # idle connections kept to one backend
+IDLE_EACH = 2  # idle connections kept to one backend...
+IDLE_SHARED = 8.0  # ...and so many to one by all proxies of the tier together: its table is finite...
+IDLE_BUSY = 10.0  # ...but as many as were in use at once, counted half after so many seconds
 AGES = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)  # idle times between which kept connections are told apart
 BROKEN_MOST = 0.3  # the part of those used again after such a time that may break: one more try for each...
 BROKEN_ONCE = 0.08  # ...and where it must not run twice: all its work, against that of a handshake...
@@ -370,8 +372,15 @@
         self.held = 0  # bytes of answers that are not whole
         self._held_most = int(HELD_PART * memory)
         self._idle: dict[Connection, None] = {}  # the longest idle first
+        self._idle_share = inf  # how many of those this proxy may keep, of what all keep
+        self._busy = 0.0  # connections in use at once, the most of late...
+        self._busy_at = self._loop.time()  # ...as of then
         self._loop.call_later(self._keep / 4.0, self._sweep)
 
+    def share(self, backends: int, proxies: int) -> None:
+        """So many proxies of the tier share so many backends, and their tables of connections."""
+        self._idle_share = IDLE_SHARED * backends / max(1, proxies)
+
     def update(self, backend: Backend, address: Address, started: float, in_service: bool) -> None:
         """What the list says of a backend now."""
         # Guards against requests on connections to a process or a place that is no more.
@@ -484,8 +493,16 @@
             # The oldest goes: what must not run twice may not take it, and would dial past it each time.
             self._drop(backend.idle[0])
         connection.idle_since = self._loop.time()
+        now = connection.idle_since
+        busy = self._connected - len(self._idle)
+        self._busy = max(busy, self._busy * 0.5 ** ((now - self._busy_at) / IDLE_BUSY))
+        self._busy_at = now
         backend.idle.append(connection)
         self._idle[connection] = None
+        # Guards backends against the sum of what proxies keep: a full table turns away those that have none
+        # at hand, after a handshake, and takes of what the backend can do, for connections that nobody uses.
+        while len(self._idle) > max(self._busy, self._idle_share):
+            self._drop(next(iter(self._idle)))
 
     def holds(self, size: int) -> bool:
         """Count so many more bytes of an answer, if there is room for them."""
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import time
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -414,6 +415,42 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(("proxies", "at_once", "kept"), [(1, 1, 10), (40, 1, 2), (40, 5, 5)])
+def test_proxies_together_keep_few_idle_connections_to_a_backend(
+    proxies: int, at_once: int, kept: int
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one:
+            exchanges = Exchanges(one, most=20)
+            exchanges.upstream.share(10, proxies)
+            for number in range(0, 10, at_once):
+                for _ in range(number, number + at_once):  # each to a backend of its own
+                    exchanges.known = Known(exchanges.known.address)
+                    exchanges.upstream.update(exchanges.known, exchanges.known.address, 0.0, True)
+                    exchanges.start()
+                for _ in range(at_once):
+                    await soon(one.got.get())
+                for writer in one.open[number:]:  # all are in use by now
+                    writer.write(OK)
+                for _ in range(at_once):
+                    assert await soon(exchanges.ended.get()) is Outcome.OK
+                assert exchanges.known.idle  # the latest are kept
+            assert len(exchanges.upstream._idle) == kept
+
+    asyncio.run(play())
+
+
+def test_the_share_of_idle_connections_goes_by_the_list_and_the_fleet() -> None:
+    async def play() -> None:
+        settings = replace(read_settings(WIRE), balancers=4)
+        async with running([entry("a", f"{HOST}:1"), entry("b", f"{HOST}:2")], settings=settings) as up:
+            assert up.proxy._upstream._idle_share == upstream.IDLE_SHARED * 2 / 4
+            up.tell([entry("b", f"{HOST}:2", "terminated")])
+            assert up.proxy._upstream._idle_share == upstream.IDLE_SHARED / 4
+
+    asyncio.run(play())
+
+
 def test_an_exchange_that_has_ended_writes_nothing() -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one:
