Send calls beyond a busy slice to the few servers behind it, not to all

Cause: Balancer._offers drew two further candidates from the whole list whenever each of the slice had a call out.

Change: they are drawn from the few servers that follow the slice on the ring (Pool.spare), which cover the ring evenly; from all only where the slice is dead. Where a slice covers the list nothing changes.

The new test fails without it.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -66,6 +66,8 @@
 COPY_FREE = 1.0  # ...and one more, in any span of the retry budget
 
 STALE = 5.0  # seconds after which a silent server's latency counts half, the tier's the other half
+SPARE_SPREAD = 2  # servers behind a slice that stand in for it while it is busy, for each of its own...
+SPARE_LEAST = 2  # ...and so many more
 WORKING_SPREAD = 1.0  # servers of a slice beyond the first, for each root of the calls usually in flight
 WORKING_EVERY = 3.0  # seconds between looks at the size of the working set
 
@@ -340,7 +342,7 @@
     """
 
     __slots__ = ("begin", "born", "breaker", "ends", "groups", "held", "held_at", "kinds", "owed", "rate",
-                 "ready", "sent", "served", "warm_from", "warm_part", "width", "working", "zones")
+                 "ready", "sent", "served", "spare", "warm_from", "warm_part", "width", "working", "zones")
 
     def __init__(self, kinds: Sequence[int] | None, zones: Sequence[int] | None) -> None:
         self.kinds = kinds
@@ -349,6 +351,7 @@
         self.working: list[Server] = []  # the part of `ready` that ordinary picks draw from...
         self.ends: list[float] = []  # ...where each one's stretch of the slice ends, by size...
         self.begin = self.width = 0.0  # ...and the slice
+        self.spare: list[Server] = []  # the servers that follow the slice on the ring
         self.groups: dict[tuple[Group, int], list[Server]] = {}  # which servers drop each other's repeats
         self.rate, self.sent, self.served = Rate(), Rate(), Rate()  # requests offered, attempts, served
         self.born = float("inf")  # when the first request came
@@ -510,8 +513,23 @@
                     if pool.begin < at and at - (server.row.size or 1.0) < pool.begin + pool.width:
                         pool.working.append(server)
                         pool.ends.append(at)
+            pool.spare = self._following(pool)
             self._count_warm(now, pool)
 
+    @staticmethod
+    def _following(pool: Pool) -> list[Server]:
+        """The servers that stand in for a busy slice: the next ones on the ring.
+
+        Guards servers against a connection from every proxy of a large fleet: each new one costs them a
+        handshake and room, and one to a server that is seldom called is never used again.
+        """
+        if not pool.working:
+            return []
+        at = pool.ready.index(pool.working[-1]) + 1
+        ring = pool.ready[at:] + pool.ready[:at]
+        count = SPARE_LEAST + SPARE_SPREAD * len(pool.working)
+        return [server for server in ring[:count] if server not in pool.working]
+
     def _count_warm(self, now: float, pool: Pool) -> None:
         until = [self._cold_until(s) for s in pool.working]
         cold = [t for t in until if t > now]
@@ -745,7 +763,9 @@
         if first and all(server.out or server.mostly_fails(now) for server in scores):
             pool = self.pool_of[request.kind]
             unseen = pool.sent.read(now) * self.pooled / max(1, len(pool.working))
-            for server in self._candidates(now, request, pool.ready, False):
+            dead = all(server.mostly_fails(now) for server in scores)
+            behind = pool.spare if pool.spare and not dead else pool.ready
+            for server in self._candidates(now, request, behind, False):
                 if server not in pool.working:
                     scores[server] = server.score(now, pooled, unseen)
         if self.settings.classes[request.kind].repeat is Repeat.UNSAFE:
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 from heapq import heappop, heappush
 from random import Random
@@ -384,6 +385,26 @@
     assert len(used) > 8
 
 
+def test_a_busy_slice_sends_on_to_the_few_servers_behind_it() -> None:
+    used: Counter[int] = Counter()
+    for me in range(100):
+        settings = Settings(classes=(SAFE,), balancers=100, me=me)
+        b = balancer(settings, [ServerRow(i) for i in range(1, 101)])
+        own = {s.row.server for s in b.pools[0].working}
+        assert len(own) == 1
+        sent = set()
+        for n in range(60):  # never more than the slice can hold is answered in the meantime
+            now = 100.0 + n / 100
+            [send] = b.request(now, f"r{n}", 0, 0, now + 4.0)
+            assert isinstance(send, Send)
+            sent.add(send.server)
+            if n >= 3:
+                b.outcome(now, f"r{n - 3}", 0, Outcome.OK, 0.03, True)
+        assert own < sent and len(sent) <= 5  # a connection to each, not to all
+        used.update(sent)
+    assert len(used) == 100 and max(used.values()) <= 5  # and none gets more of them than another
+
+
 def test_requests_stuck_on_dead_servers_do_not_hold_all_the_room() -> None:
     b = balancer(Settings(classes=(DEAR,)))
     now = 100.0
