Cold budgets: refused clients that come back are not counted again

Cause: where a slice has few warm servers or none, a cold server's budget is a part of the calls offered (Pool.part_rate).

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -14,7 +14,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import replace
-from math import exp, log, sqrt
+from math import exp, inf, log, sqrt
 from random import Random
 
 from jaspershelf.model import (
@@ -69,6 +69,9 @@
 WORKING_SPREAD = 1.0  # servers of a slice beyond the first, for each root of the calls usually in flight
 WORKING_EVERY = 3.0  # seconds between looks at the size of the working set
 
+USUAL_SPAN = 30.0  # seconds with warm servers that the usual rate goes over...
+USUAL_LEAST = 8.0  # ...from so many calls on
+
 ROOM = 0.7  # the dearest class is taken while the tier's expected latency is under this part of its aim...
 ROOM_LEAST = 0.35  # ...one worth nothing under this part
 ROOM_LOST = 0.57  # ...each shrinks to this part of itself, at servers that lose what they are sent...
@@ -221,6 +224,28 @@
         return self._value * max(0.0, 1.0 - (now - self._at) / 2.0)
 
 
+class UsualRate:
+    """Events a second while the servers were warm, over the last half minute of such time."""
+
+    __slots__ = ("_at", "_events", "_time")
+
+    def __init__(self) -> None:
+        self._at = self._events = self._time = 0.0
+
+    def add(self, now: float, warm: bool) -> None:
+        """Count one event, and the time since the one before, unless servers were cold then or are now."""
+        if warm and self._at > 0.0:
+            gap = now - self._at
+            kept = exp(-gap / USUAL_SPAN)
+            self._events = kept * self._events + 1.0
+            self._time = kept * self._time + gap
+        self._at = now if warm else 0.0
+
+    def read(self) -> float:
+        """The rate; endless while too little is known."""
+        return self._events / self._time if self._events >= USUAL_LEAST and self._time > 0.0 else inf
+
+
 class Budget:
     """The retry budget: attempts beyond each request's first against the requests taken, in any span.
 
@@ -340,7 +365,7 @@
     """
 
     __slots__ = ("begin", "born", "breaker", "ends", "groups", "held", "held_at", "kinds", "owed", "rate",
-                 "ready", "sent", "served", "warm_from", "warm_part", "width", "working", "zones")
+                 "ready", "sent", "served", "usual", "warm_from", "warm_part", "width", "working", "zones")
 
     def __init__(self, kinds: Sequence[int] | None, zones: Sequence[int] | None) -> None:
         self.kinds = kinds
@@ -351,6 +376,7 @@
         self.begin = self.width = 0.0  # ...and the slice
         self.groups: dict[tuple[Group, int], list[Server]] = {}  # which servers drop each other's repeats
         self.rate, self.sent, self.served = Rate(), Rate(), Rate()  # requests offered, attempts, served
+        self.usual = UsualRate()  # attempts while all of the slice were warm
         self.born = float("inf")  # when the first request came
         self.owed = 0  # requests that a final answer is owed for...
         self.held = self.held_at = 0.0  # ...and how many they were lately, as of then
@@ -366,9 +392,11 @@
     def part_rate(self, now: float) -> float:
         """What each server of the slice gets from here, in calls a second.
 
-        By calls sent: refused clients come back and count again. Where all are cold, by calls offered.
+        By calls sent: refused clients come back and count again. Where all are cold, by calls offered, as
+        what is sent then follows from this, but not beyond the usual: who comes back counts there too.
         """
-        rate = self.warm_part * self.sent.read(now) + (1.0 - self.warm_part) * self.rate.read(now)
+        offered = min(self.rate.read(now), self.usual.read())
+        rate = self.warm_part * self.sent.read(now) + (1.0 - self.warm_part) * offered
         return rate / max(1, len(self.working))
 
 
@@ -703,7 +731,9 @@
             self._budget(request).spend(now)
         attempt = Attempt(server, now)
         server.out[attempt] = None
-        self.pool_of[request.kind].sent.add(now)
+        pool = self.pool_of[request.kind]
+        pool.sent.add(now)
+        pool.usual.add(now, pool.warm_part >= 1.0)
         request.attempts.append(attempt)
         request.open += 1
         within = request.until - now if request.until < request.deadline else 0.0
