--- a/jaspershelf/model.py
+++ b/jaspershelf/model.py
@@ -13,6 +13,8 @@
 from enum import Enum
 from typing import Any
 
+COUNT_MOST = 1 << 20  # balancers, tiers or zones: shares of them must not vanish among the figures
+
 ServerId = int
 RequestId = str
 
@@ -74,12 +76,22 @@
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID})
 
 
-def _number(name: str, value: float, low: float = 0.0, high: float = math.inf) -> None:
-    ok = isinstance(value, (int, float)) and not isinstance(value, bool) and low <= value <= high
-    if not ok or not math.isfinite(value):
+def _number(name: str, value: float, low: float = 0.0, high: float = sys.float_info.max) -> None:
+    # Whole numbers have no limit: the comparison tells those that no float holds, which float() would not.
+    if not isinstance(value, (int, float)) or isinstance(value, bool) or not low <= value <= high:
         raise ValueError(f"{name}: {value!r} is not a number from {low} to {high}")
 
 
+def _flag(name: str, value: bool) -> None:
+    if not isinstance(value, bool):
+        raise ValueError(f"{name}: {value!r} is neither true nor false")
+
+
+def _text(name: str, value: str) -> None:
+    if not isinstance(value, str):
+        raise ValueError(f"{name}: {value!r} is not a text")
+
+
 def _index(name: str, value: int, count: int) -> None:
     if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value < count:
         raise ValueError(f"{name}: {value!r} is not a whole number from 0 to {count - 1}")
@@ -103,6 +115,8 @@
 
     def check(self, at: str) -> None:
         """Raise ValueError for values that make no sense."""
+        _text(f"{at}.name", self.name)
+        _flag(f"{at}.streaming", self.streaming)
         for name in ("aim", "deadline", "window", "worth"):
             _number(f"{at}.{name}", getattr(self, name))
         _number(f"{at}.late_worth", self.late_worth, 0.0, 1.0)
@@ -123,6 +137,7 @@
 
     def check(self, at: str) -> None:
         """Raise ValueError for values that make no sense."""
+        _text(f"{at}.name", self.name)
         _number(f"{at}.share", self.share, 0.0, 1.0)
         _number(f"{at}.quota", self.quota)
 
@@ -139,6 +154,8 @@
 
     def check(self, at: str) -> None:
         """Raise ValueError for values that make no sense."""
+        for name in ("cancel", "second_copies", "retry_after"):
+            _flag(f"{at}.{name}", getattr(self, name))
         _number(f"{at}.max_attempts", self.max_attempts, 1)
         _number(f"{at}.max_retry_after", self.max_retry_after)
 
@@ -193,13 +210,14 @@
         for i, tenant in enumerate(self.tenants):
             tenant.check(f"tenants[{i}]")
         for name, count in (("me", "balancers"), ("tier", "tiers"), ("zone", "zones")):
-            _number(count, getattr(self, count), 1)
+            _number(count, getattr(self, count), 1, COUNT_MOST)
             _index(name, getattr(self, name), getattr(self, count))
+        for name in ("passes_deadline", "marks_retry"):
+            _flag(name, getattr(self, name))
         _number("over_share_worth", self.over_share_worth, 0.0, 1.0)
         self.limits.check("limits")
         self.rules.check("rules")
 
-
     def check_request(self, kind: int, tenant: int, deadline: float | None, cost: float) -> None:
         """Raise ValueError naming the argument of a request that makes no sense."""
         _index("kind", kind, len(self.classes))
