Module: settings are swapped while requests are in flight

Cause: a balancer kept the settings of its start, and a request in flight named its class by its place in their list, so a changed class, tenant, limit, rule or size of the fleet needed a new instance, which has learned nothing.

Change: `Balancer.reconfigure` takes new settings whole, in one instant; equal ones change nothing, and settings that make no sense, have two classes or tenants of one name, or change the tier or the way of discovery raise ValueError before anything is changed. A request holds its own class, limits and pool, and what it may do is narrowed to what both readings allow. What was learned is kept by the names of classes and tenants and dropped with them; a pool stays where one of its classes does. A tenant's credit and what was spent of the retry budget still count, also where the span grows over what is remembered. Servers, their breakers and cold credit stay.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -13,6 +13,7 @@
 from bisect import bisect_right
 from collections import deque
 from collections.abc import Sequence
+from copy import deepcopy
 from dataclasses import replace
 from math import exp, log, sqrt
 from random import Random
@@ -36,6 +37,8 @@
     State,
     Subscribe,
     Timer,
+    strict_class,
+    strict_limits,
 )
 
 WINDOW = 10.0  # seconds that the error ratio looks back
@@ -98,6 +101,8 @@
 #: Outcomes that speak of too much work for the servers there are.
 STRAIN = frozenset({Outcome.FULL, Outcome.TIMEOUT, Outcome.UNREACHABLE})
 
+Placement = tuple[tuple[int, ...] | None, tuple[int, ...] | None]  # kinds and zones that a class is bound to
+
 SUBSCRIBE = 1  # timer token; those above it are of second copies
 
 
@@ -228,12 +233,22 @@
     many first attempts fail for other causes than load: what would be saved by a second is lost.
     """
 
-    __slots__ = ("_extra", "_free", "_share", "_span", "_taken")
+    __slots__ = ("_extra", "_forgotten", "_free", "_share", "_span", "_taken")
 
     def __init__(self, free: float, share: float, span: float) -> None:
-        self._free, self._share, self._span = free, share, span
+        self.state(free, share, span)
         self._taken: deque[float] = deque()
         self._extra: deque[float] = deque()
+        self._forgotten = float("-inf")  # the latest of the further attempts that are not remembered
+
+    def state(self, free: float, share: float, span: float) -> None:
+        """Change its figures; what was spent still counts."""
+        self._free, self._share, self._span = free, share, span
+
+    def absorb(self, other: Budget) -> None:
+        """Count what another has spent on the same requests."""
+        self._extra = deque(sorted((*self._extra, *other._extra)))
+        self._forgotten = max(self._forgotten, other._forgotten)
 
     def take(self, now: float) -> None:
         """Count a request taken, refused ones too."""
@@ -243,6 +258,9 @@
     def allows(self, now: float) -> bool:
         """Whether one more further attempt may be sent now."""
         self._expire(now)
+        # Guards a span that has grown: how many are not remembered, nobody knows.
+        if self._forgotten >= now - self._span - EDGE:
+            return False
         return len(self._extra) + 1.0 <= self._free + self._share * len(self._taken)
 
     def spend(self, now: float) -> None:
@@ -253,7 +271,7 @@
         while self._taken and self._taken[0] <= now - self._span + EDGE:
             self._taken.popleft()
         while self._extra and self._extra[0] < now - self._span - EDGE:
-            self._extra.popleft()
+            self._forgotten = self._extra.popleft()
 
 
 class Server:
@@ -314,12 +332,18 @@
     """A request that a final answer is owed for, or that still has attempts out."""
 
     __slots__ = (
-        "attempts", "bound", "cost", "deadline", "done", "id", "kind", "open", "until",
+        "attempts", "bound", "cost", "deadline", "done", "id", "kind", "limits", "open", "pool", "room",
+        "row", "until",
     )
 
-    def __init__(self, rid: RequestId, kind: int, deadline: float) -> None:
+    def __init__(self, rid: RequestId, kind: int, deadline: float, balancer: Balancer) -> None:
         self.id = rid
-        self.kind = kind
+        self.kind = kind  # its class's place in the settings in force; -1 once it is none of theirs
+        # What it was admitted with holds to its end, and is only narrowed by later settings.
+        self.row = balancer.settings.classes[kind]
+        self.limits = balancer.settings.limits
+        self.pool = balancer.pool_of[kind]
+        self.room = balancer.room[kind]
         self.deadline = deadline
         self.until = deadline  # no attempt is waited for longer than this
         self.attempts: list[Attempt] = []
@@ -339,10 +363,11 @@
     Guards placement: every pick, first or further, comes from a list that holds open servers alone.
     """
 
-    __slots__ = ("begin", "born", "breaker", "ends", "groups", "held", "held_at", "kinds", "owed", "rate",
-                 "ready", "sent", "served", "warm_from", "warm_part", "width", "working", "zones")
+    __slots__ = ("begin", "born", "breaker", "ends", "groups", "held", "held_at", "kinds", "owed", "place",
+                 "rate", "ready", "sent", "served", "warm_from", "warm_part", "width", "working", "zones")
 
-    def __init__(self, kinds: Sequence[int] | None, zones: Sequence[int] | None) -> None:
+    def __init__(self, kinds: tuple[int, ...] | None, zones: tuple[int, ...] | None) -> None:
+        self.place = kinds, zones
         self.kinds = kinds
         self.zones = zones
         self.ready: list[Server] = []
@@ -377,45 +402,126 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         settings.check()
-        self.settings = settings
         self.rng = Random(seed)
         self.servers: dict[ServerId, Server] = {}
-        places = {(c.only_kinds, c.only_zones): Pool(c.only_kinds, c.only_zones) for c in settings.classes}
-        self.pools = list(places.values())
-        self.pool_of = [places[c.only_kinds, c.only_zones] for c in settings.classes]
-        tenants = () if settings.tier else settings.tenants  # only the first tier sheds by share
-        self.shares = [t.quota / settings.balancers for t in tenants]  # what of each is due here...
-        self.due = [1.0 + SHARE_SPAN * share for share in self.shares]  # ...how many requests of it now...
-        self.due_at = [0.0] * len(self.due)  # ...as of then
+        self.pools: list[Pool] = []  # also such as only requests in flight still hold
+        self.pool_of: list[Pool] = []  # by class
+        self.shares: list[float] = []  # what of each tenant is due here...
+        self.due: list[float] = []  # ...how many requests of it now...
+        self.due_at: list[float] = []  # ...as of then
         self.look_at = 0.0
         self.pooled = 0.0  # current latency of the tier...
         self.spread = 0.0  # ...and its mean deviation
         self.copies: dict[int, tuple[Request, Attempt]] = {}  # by timer token: what may get a copy then
         self.tokens = SUBSCRIBE
         self.requests: dict[RequestId, Request] = {}
-        rules = settings.rules
-        self.budget = Budget(EXTRA_FREE, EXTRA_SHARE, EXTRA_SPAN)
-        # Guards retries of what has failed against copies that use up their budget.
-        self.copy_budget = Budget(COPY_FREE, COPY_SHARE, EXTRA_SPAN)
-        if rules.extra_span > 0.0:
-            self.budget = Budget(rules.extra_free, rules.extra_share, rules.extra_span)
-            self.copy_budget = self.budget  # the rule counts copies too
+        self.budget = self.copy_budget = Budget(EXTRA_FREE, EXTRA_SHARE, EXTRA_SPAN)
         self.asking = False
         self.backoff = 1.0
+        self.pace = 0.0  # baseline of latency for each unit of cost...
+        self.paced = 0  # ...and the answers behind it
+        self.mean = self.calm = 0.0  # mean latency of late, and the baseline of that
+        self.took: list[float] = []  # mean latency of each class of late...
+        self.answers: list[int] = []  # ...and the answers behind it
+        self.lengths: list[dict[int, int]] = []  # of tries, in steps of 2%...
+        self.usual: list[int] = []  # ...and the commonest
+        self.settings = replace(settings, classes=(), tenants=())
+        self._configure(0.0, settings)
+
+    # ---- settings ------------------------------------------------------------------------
+
+    def reconfigure(self, now: float, settings: Settings) -> list[Action]:
+        """Swap the settings, whole and in this instant; equal ones change nothing.
+
+        Requests in flight are finished under those that they were admitted with, narrowed to what both allow.
+        What was learned of a class or tenant is kept by its name, what was spent of a budget still counts,
+        and servers stay what they are. Numbers of zones and kinds have to mean the same in both. Raises
+        ValueError, with nothing changed, for settings that `Settings.check_swap` does not allow.
+        """
+        if settings == self.settings:
+            return []
+        self.settings.check_swap(settings)
+        self._configure(now, settings)
+        self._arrange(now)
+        return []
+
+    def misplaced(self) -> list[tuple[RequestId, int]]:
+        """Attempts out on servers that their requests may not go to any more; call after `reconfigure`.
+
+        Those that are not on the wire yet should be ended as void.
+        """
+        return [(r.id, n) for r in self.requests.values() for n, a in enumerate(r.attempts)
+                if a.open and not r.pool.opens(a.server.row)]
+
+    def _configure(self, now: float, settings: Settings) -> None:
+        """Take settings over. Guards customers against each other: what has no name in both starts anew."""
+        places = {c.name: n for n, c in enumerate(self.settings.classes)}
+        kept = [places.get(c.name, -1) for c in settings.classes]
+        tenants = () if settings.tier else settings.tenants  # only the first tier sheds by share
+        places = {t.name: n for n, t in enumerate(self.settings.tenants)}
+        due = [self._due(now, places[t.name]) if t.name in places else float("inf") for t in tenants]
+        self.shares = [t.quota / settings.balancers for t in tenants]
+        self.due = [min(was, 1.0 + SHARE_SPAN * share) for was, share in zip(due, self.shares, strict=True)]
+        self.due_at = [now] * len(due)
+        pools: dict[Placement, Pool] = {}
+        for row, n in zip(settings.classes, kept, strict=True):
+            if n >= 0 and self.pool_of[n].place == (row.only_kinds, row.only_zones):
+                pools[self.pool_of[n].place] = self.pool_of[n]
+        for row in settings.classes:
+            pools.setdefault((row.only_kinds, row.only_zones), Pool(row.only_kinds, row.only_zones))
+        self.pool_of = [pools[row.only_kinds, row.only_zones] for row in settings.classes]
+        self.took = [self.took[n] if n >= 0 else 0.0 for n in kept]
+        self.answers = [self.answers[n] if n >= 0 else 0 for n in kept]
+        self.lengths = [self.lengths[n] if n >= 0 else {} for n in kept]
+        self.usual = [self.usual[n] if n >= 0 else 0 for n in kept]
+        if max(kept) < 0:  # none is left: what was learned of all of them together goes too
+            self.pooled = self.spread = self.mean = self.calm = self.pace = 0.0
+            self.paced = 0
         dearest = max(c.worth for c in settings.classes) or 1.0
         span = (ROOM - ROOM_LEAST) / dearest
         self.crowd = min(1.0, max(0, settings.balancers - CROWD_ALONE) / (CROWD_MANY - CROWD_ALONE))
         self.alone = ROOM_ALONE if settings.balancers <= settings.zones else 0.0
         self.room = [c.aim * (ROOM_LEAST + span * c.worth) for c in settings.classes]
         self.worth = [c.worth / dearest for c in settings.classes]
-        self.pace = 0.0  # baseline of latency for each unit of cost...
-        self.paced = 0  # ...and the answers behind it
-        self.mean = self.calm = 0.0  # mean latency of late, and the baseline of that
-        self.took = [0.0] * len(settings.classes)  # mean latency of each class of late...
-        self.answers = [0] * len(settings.classes)  # ...and the answers behind it
         self.accept_worth = [1.0 / (POOL_KEEPS - POOL_WORTH * worth) for worth in self.worth]
-        self.lengths: list[dict[int, int]] = [{} for _ in settings.classes]  # of tries, in steps of 2%...
-        self.usual = [0] * len(settings.classes)  # ...and the commonest
+        self._state_budgets(settings)
+        self.settings = settings
+        places = {c.name: n for n, c in enumerate(settings.classes)}
+        narrowed: dict[Placement, Pool] = {}
+        for request in self.requests.values():
+            request.limits = strict_limits(request.limits, settings.limits)
+            request.kind = places.get(request.row.name, -1)
+            if request.kind >= 0:  # else its class is gone, and it is finished as it was admitted
+                self._narrow(request, narrowed)
+        # Guards drains: requests in flight may draw from pools that no class has any more.
+        held = (p for p in self.pools if p.owed and p not in self.pool_of)
+        self.pools = [*pools.values(), *narrowed.values(), *held]
+
+    def _state_budgets(self, settings: Settings) -> None:
+        rules = settings.rules
+        if rules.extra_span > 0.0:
+            self.budget.state(rules.extra_free, rules.extra_share, rules.extra_span)
+            if self.copy_budget is not self.budget:
+                self.budget.absorb(self.copy_budget)
+            self.copy_budget = self.budget  # the rule counts copies too
+            return
+        self.budget.state(EXTRA_FREE, EXTRA_SHARE, EXTRA_SPAN)
+        # Guards retries of what has failed against copies that use up their budget.
+        if self.copy_budget is self.budget:
+            self.copy_budget = deepcopy(self.budget)
+        self.copy_budget.state(COPY_FREE, COPY_SHARE, EXTRA_SPAN)
+
+    def _narrow(self, request: Request, pools: dict[Placement, Pool]) -> None:
+        """Leave to a request in flight what both its own class and the one in force allow."""
+        request.row = row = strict_class(request.row, self.settings.classes[request.kind])
+        place = row.only_kinds, row.only_zones
+        if request.pool.place != place:
+            pool = self.pool_of[request.kind]
+            if pool.place != place:
+                pool = pools.setdefault(place, Pool(*place))
+            request.pool.owed -= not request.done
+            pool.owed += not request.done
+            request.pool = pool
 
     # ---- the list of servers -------------------------------------------------------------
 
@@ -557,13 +663,13 @@
             raise ValueError(f"rid: {rid!r} is open already")
         if deadline is None:
             deadline = now + self.settings.classes[kind].deadline
-        request = Request(rid, kind, deadline)
+        request = Request(rid, kind, deadline, self)
         request.until = self._worth_until(now, kind, deadline, retry)
         self.requests[rid] = request
         self.budget.take(now)
         if self.copy_budget is not self.budget:
             self.copy_budget.take(now)
-        pool = self.pool_of[kind]
+        pool = request.pool
         pool.rate.add(now)
         if now >= self.look_at:
             self._resize(now)
@@ -593,17 +699,20 @@
         Acts where requests fail, in the measure that they do. Could harm where one instance has most of a
         tenant's traffic: its part of the share is soon used up.
         """
-        share = self.shares[tenant] if self.shares else 0.0
-        if share <= 0.0:
+        if not self.shares or self.shares[tenant] <= 0.0:
             return False
-        due = self.due[tenant] + share * (now - self.due_at[tenant])
-        self.due[tenant] = due = min(due, 1.0 + SHARE_SPAN * share)
+        self.due[tenant] = due = self._due(now, tenant)
         self.due_at[tenant] = now
         if due < 1.0:
             return True
         self.due[tenant] -= 1.0
         return False
 
+    def _due(self, now: float, tenant: int) -> float:
+        """How many requests of a tenant are within its share now."""
+        share = self.shares[tenant]
+        return min(self.due[tenant] + share * (now - self.due_at[tenant]), 1.0 + SHARE_SPAN * share)
+
     def _admits(self, now: float, kind: int, over: bool) -> bool:
         """Whether the tiers below can be expected to serve one more request of this class in time.
 
@@ -689,7 +798,7 @@
         self, now: float, request: Request, among: list[Server], first: bool, out: list[Action]
     ) -> bool:
         """Send an attempt to the best candidate whose breaker does not refuse; False if there is none."""
-        timeout = self.settings.classes[request.kind].aim
+        timeout = request.row.aim
         for server in self._offers(now, request, among, first):
             if server.breaker is None:
                 server.breaker = Breaker()
@@ -703,7 +812,7 @@
             self._budget(request).spend(now)
         attempt = Attempt(server, now)
         server.out[attempt] = None
-        self.pool_of[request.kind].sent.add(now)
+        request.pool.sent.add(now)
         request.attempts.append(attempt)
         request.open += 1
         within = request.until - now if request.until < request.deadline else 0.0
@@ -720,10 +829,10 @@
         further up repeats the work of all tiers below. Could harm where all are slow: a budget of their own
         bounds the copies, and where latency is a large part of the time there are none.
         """
-        kind = self.settings.classes[request.kind]
+        kind = request.row
         if self.settings.tier < self.settings.tiers - 1:
             return
-        if kind.repeat is not Repeat.SAFE or kind.streaming or not self.settings.limits.second_copies:
+        if kind.repeat is not Repeat.SAFE or kind.streaming or not request.limits.second_copies:
             return
         delay = max(self.pooled + COPY_SPREADS * self.spread, COPY_LEAST * self.pooled)
         if self.pooled <= 0.0 or now + delay + COPY_NEEDS * self.pooled > request.until:
@@ -740,15 +849,15 @@
         or outliers, two of all servers are drawn too, taken to hold of others' what ours hold of ours on
         average. Could harm where others have far more traffic: their servers are busier than they seem.
         """
-        pooled = self.pooled or self.settings.classes[request.kind].aim  # before any answer all are alike
+        pooled = self.pooled or request.row.aim  # before any answer all are alike
         scores = {s: s.score(now, pooled) for s in self._candidates(now, request, among, first)}
         if first and all(server.out or server.mostly_fails(now) for server in scores):
-            pool = self.pool_of[request.kind]
+            pool = request.pool
             unseen = pool.sent.read(now) * self.pooled / max(1, len(pool.working))
             for server in self._candidates(now, request, pool.ready, False):
                 if server not in pool.working:
                     scores[server] = server.score(now, pooled, unseen)
-        if self.settings.classes[request.kind].repeat is Repeat.UNSAFE:
+        if request.row.repeat is Repeat.UNSAFE:
             # Guards what can't be tried again against an outlier: its breaker lets calls through until it has
             # seen enough, and once a second then. What can be goes on finding out whether it has recovered.
             # Could harm where requests themselves are at fault: their server is shunned for a window.
@@ -759,7 +868,7 @@
         """Two random ready servers, fewer where there are no more."""
         count = len(among)
         found: list[Server] = []
-        pool = self.pool_of[request.kind]
+        pool = request.pool
         if now >= pool.warm_from:
             self._count_warm(now, pool)
         tried = [a.server for a in request.attempts]
@@ -783,8 +892,7 @@
 
         Guards the rule against doing an effect twice.
         """
-        kind = self.settings.classes[request.kind]
-        pool = self.pool_of[request.kind]
+        kind, pool = request.row, request.pool
         first = request.first_maybe()
         if first is None or kind.repeat is Repeat.SAFE:
             return pool.ready
@@ -805,7 +913,7 @@
             return False
         if not self._budget(request).allows(now):
             return False
-        if len(request.attempts) >= self.settings.limits.max_attempts:
+        if len(request.attempts) >= request.limits.max_attempts:
             return False
         return self._send(now, request, self._among(now, request), False, out)
 
@@ -815,8 +923,8 @@
         # refusing work does not cure them. Could harm: an overloaded tier that fails fast, as proxies that
         # refuse make it, shows in what is owed alone.
         if any(attempt.strained for attempt in request.attempts):
-            self.pool_of[request.kind].breaker.failed(now)
-        kind = self.settings.classes[request.kind]
+            request.pool.breaker.failed(now)
+        kind = request.row
         free = kind.repeat is Repeat.SAFE or (kind.repeat is Repeat.KEYED and kind.group is Group.ALL)
         if free or request.first_maybe() is None:
             out.append(Refuse(request.id, self._come_back()))
@@ -837,14 +945,14 @@
 
     def _finish(self, request: Request, out: list[Action]) -> None:
         request.done = True
-        self.pool_of[request.kind].owed -= 1
+        request.pool.owed -= 1
         if not request.bound:
             out += self._cancels(request)
         if not request.open:
             self.requests.pop(request.id, None)
 
     def _cancels(self, request: Request, spared: int = -1) -> list[Action]:
-        if not self.settings.limits.cancel:
+        if not request.limits.cancel:
             return []
         return [Cancel(request.id, n) for n, a in enumerate(request.attempts) if a.open and n != spared]
 
@@ -861,10 +969,10 @@
         attempt.open = False
         attempt.maybe_ran = how not in NEVER_RAN
         # An error that took longer than the room speaks of a time-out behind.
-        attempt.strained = how in STRAIN or latency > self.room[request.kind]
+        attempt.strained = how in STRAIN or latency > request.room
         request.open -= 1
-        self._learn(now, attempt, how, latency, self.settings.classes[request.kind].aim)
-        if how is Outcome.OK:
+        self._learn(now, attempt, how, latency, request.row.aim)
+        if how is Outcome.OK and request.kind >= 0:
             gap = latency / request.cost - self.pace
             self.pace += gap / (4.0 if gap < 0.0 else 100.0) if self.paced else gap
             self.paced += 1
@@ -878,9 +986,8 @@
             if not request.open:
                 self.requests.pop(rid, None)
         elif last or how is Outcome.OK:
-            pool = self.pool_of[request.kind]
-            pool.served.add(now)
-            pool.breaker.accepted(now)
+            request.pool.served.add(now)
+            request.pool.breaker.accepted(now)
             self._finish(request, out)
         elif not request.open and not self._again(now, request, out):
             self._answer(now, request, out)
@@ -936,6 +1043,6 @@
         out: list[Action] = []
         if token in self.copies:
             request, attempt = self.copies.pop(token)
-            if attempt.open:
+            if attempt.open and request.limits.second_copies and request.row.repeat is Repeat.SAFE:
                 self._again(now, request, out)
         return out
--- a/jaspershelf/model.py
+++ b/jaspershelf/model.py
@@ -9,7 +9,7 @@
 import math
 import sys
 from collections.abc import Mapping
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field, fields, replace
 from enum import Enum
 from typing import Any
 
@@ -218,6 +218,21 @@
         self.limits.check("limits")
         self.rules.check("rules")
 
+    def check_swap(self, stated: Settings) -> None:
+        """Raise ValueError where a running instance can't go on with these settings instead of its own.
+
+        What is learned is kept by name, so classes and tenants need names of their own. Tier and way of
+        discovery say which servers an instance has, and how it hears of them: those need a new instance.
+        """
+        stated.check()
+        for name in ("tier", "discovery"):
+            if getattr(stated, name) != getattr(self, name):
+                raise ValueError(f"{name}: a change of it needs a restart")
+        for name in ("classes", "tenants"):
+            names = [row.name for row in getattr(stated, name)]
+            if len(set(names)) < len(names):
+                raise ValueError(f"{name}: two have the same name")
+
     def check_request(self, kind: int, tenant: int, deadline: float | None, cost: float) -> None:
         """Raise ValueError naming the argument of a request that makes no sense."""
         _index("kind", kind, len(self.classes))
@@ -227,6 +242,39 @@
         _number("cost", cost)
 
 
+def _both(one: tuple[int, ...] | None, other: tuple[int, ...] | None) -> tuple[int, ...] | None:
+    if one is None or other is None:
+        return other if one is None else one
+    return tuple(place for place in one if place in other)
+
+
+def strict_class(admitted: RequestClass, stated: RequestClass) -> RequestClass:
+    """The class of a request in flight whose settings have changed: it may do only what both allow.
+
+    Where the two differ in how far it may be repeated, it is not repeated once it may have run.
+    """
+    differ = admitted.repeat is not stated.repeat
+    differ = differ or (stated.repeat is Repeat.KEYED and admitted.group is not stated.group)
+    return replace(
+        admitted,
+        repeat=Repeat.UNSAFE if differ else admitted.repeat,
+        window=min(admitted.window, stated.window),
+        streaming=admitted.streaming or stated.streaming,
+        only_kinds=_both(admitted.only_kinds, stated.only_kinds),
+        only_zones=_both(admitted.only_zones, stated.only_zones),
+    )
+
+
+def strict_limits(admitted: Limits, stated: Limits) -> Limits:
+    """What the deployment permits of a request in flight once the limits have changed: what both permit."""
+    return replace(
+        admitted,
+        cancel=admitted.cancel and stated.cancel,
+        second_copies=admitted.second_copies and stated.second_copies,
+        max_attempts=min(admitted.max_attempts, stated.max_attempts),
+    )
+
+
 def pick_known(kind: type, values: Mapping[str, Any]) -> dict[str, Any]:
     """The entries of `values` that are fields of `kind` and not None; others are ignored."""
     names = {item.name for item in fields(kind)}
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -11,10 +11,12 @@
     Cancel,
     Fail,
     Group,
+    Limits,
     ListKind,
     Outcome,
     Refuse,
     Repeat,
+    RequestClass,
     Send,
     ServerRow,
     Settings,
@@ -44,6 +46,8 @@
 
     kind: int
     deadline: float
+    classes: list[RequestClass]  # its own as admitted, and what later settings said of that name meanwhile
+    limits: list[Limits]
     tries: list[Try] = field(default_factory=list)
     finals: int = 0
     ended: bool = False
@@ -79,10 +83,22 @@
         self.count += 1
         self.taken.append(self.now)
         rid = f"r{self.count}"
-        self.owed[rid] = Owed(kind, self.now + wait)
+        self.owed[rid] = Owed(
+            kind, self.now + wait, [self.settings.classes[kind]], [self.settings.limits]
+        )
         self.apply(self.balancer.request(self.now, rid, kind, tenant, self.now + wait))
         return rid
 
+    def reconfigure(self, settings: Settings) -> None:
+        """Swap the settings; what is owed from before is held to every reading since it was admitted."""
+        self.settings = settings
+        stated = {row.name: row for row in settings.classes}
+        for owed in self.owed.values():
+            owed.limits.append(settings.limits)
+            if owed.classes[0].name in stated:
+                owed.classes.append(stated[owed.classes[0].name])
+        self.apply(self.balancer.reconfigure(self.now, settings))
+
     def open_tries(self) -> list[tuple[str, int]]:
         return [(rid, n) for rid, o in self.owed.items() for n, t in enumerate(o.tries) if t.how is None]
 
@@ -143,8 +159,9 @@
             elif isinstance(action, Send):
                 self.sent(action)
             elif isinstance(action, Cancel):
-                assert self.settings.limits.cancel, "cancel is not permitted"
-                attempt = self.owed[action.request].tries[action.attempt]
+                owed = self.owed[action.request]
+                assert all(limits.cancel for limits in owed.limits), "cancel is not permitted"
+                attempt = owed.tries[action.attempt]
                 assert attempt.how is None, "cancelled an attempt that had ended"
                 attempt.until = self.now  # ends at once, as cancelled or as something on its way
             else:
@@ -152,17 +169,32 @@
 
     def sent(self, action: Send) -> None:
         owed = self.owed[action.request]
-        kind = self.settings.classes[owed.kind]
-        limits = self.settings.limits
         assert not owed.ended, "sent after the final answer"
         assert not owed.begun, "sent after its stream began"
         row = self.rows[action.server]
         assert row.state is State.UP, "sent to a server that drains or is gone"
+        for limits in owed.limits:
+            assert len(owed.tries) < limits.max_attempts
+            if any(t.how is None for t in owed.tries):
+                assert limits.second_copies, "a second copy is not permitted"
+        for kind in owed.classes:
+            self.placed(owed, kind, row)
+        rules = self.settings.rules
+        if owed.tries:
+            self.further.append(self.now)
+        if owed.tries and rules.extra_span:
+            since = self.now - rules.extra_span
+            most = rules.extra_free + rules.extra_share * sum(t > since for t in self.taken)
+            assert sum(t >= since for t in self.further) <= most, "beyond the attempt budget"
+        until = owed.deadline
+        if action.timeout > 0.0:
+            until = min(until, self.now + action.timeout)
+        owed.tries.append(Try(replace(row), self.now, until))
+        self.sends.setdefault(action.server, []).append(self.now)
+
+    def placed(self, owed: Owed, kind: RequestClass, row: ServerRow) -> None:
         for bound, place in ((kind.only_kinds, row.kind), (kind.only_zones, row.zone)):
             assert bound is None or place in bound, "sent to a server that is not open to its class"
-        assert len(owed.tries) < limits.max_attempts
-        if any(t.how is None for t in owed.tries):
-            assert limits.second_copies, "a second copy is not permitted"
         maybe = [t for t in owed.tries if t.maybe_ran]
         if maybe and kind.repeat is not Repeat.SAFE:
             assert kind.repeat is Repeat.KEYED, "an unsafe request was sent twice"
@@ -172,23 +204,11 @@
                     assert t.row.zone == row.zone, "repeated in another zone"
                 if kind.group is Group.CELL:
                     assert t.row.cell == row.cell, "repeated in another cell"
-        rules = self.settings.rules
-        if owed.tries and rules.extra_span:
-            self.further.append(self.now)
-            since = self.now - rules.extra_span
-            most = rules.extra_free + rules.extra_share * sum(t > since for t in self.taken)
-            assert sum(t >= since for t in self.further) <= most, "beyond the attempt budget"
-        until = owed.deadline
-        if action.timeout > 0.0:
-            until = min(until, self.now + action.timeout)
-        owed.tries.append(Try(replace(row), self.now, until))
-        self.sends.setdefault(action.server, []).append(self.now)
 
     def final(self, action: Refuse | Fail) -> None:
         owed = self.owed[action.request]
-        kind = self.settings.classes[owed.kind]
         assert not owed.ended, "a second final answer"
-        if isinstance(action, Refuse):
+        for kind in owed.classes if isinstance(action, Refuse) else ():
             harmless = kind.repeat is Repeat.SAFE or not any(t.maybe_ran for t in owed.tries)
             harmless = harmless or (kind.repeat is Repeat.KEYED and kind.group is Group.ALL)
             assert harmless, "refused although it may have run"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -43,7 +43,7 @@
 step = st.tuples(st.integers(0, 9), st.integers(0, 10_000), st.integers(0, 10_000))
 
 
-def play(checker: Checker, steps: list[tuple[int, int, int]]) -> None:
+def play(checker: Checker, steps: list[tuple[int, int, int]], settle: float = 10.0) -> None:
     for what, a, b in steps:
         if what <= 3:
             checker.request(a % len(KINDS), 0.05 + (b % 300) / 100.0, a % 2)
@@ -74,7 +74,7 @@
                 checker.leave(rid)
         else:
             checker.advance((a % 1000) / 1000.0)
-    checker.advance(10.0)
+    checker.advance(settle)
 
 
 @settings(derandomize=True, max_examples=250, deadline=None, suppress_health_check=list(HealthCheck))
