Proxy: a changed configuration is in force with SIGHUP, whole or not at all

Change: SIGHUP swaps the module's settings and the proxy's own (classes, tenants, methods, times of connections, deadlines) in one callback, together with discovery. A bad file, or one that changes tier or mode of discovery, is refused with one line and the last good one stays; an equal one changes nothing; what identifies the process stays, with a line where it differs; after SIGTERM only discovery moves. The version in force is the second line of `/healthz`. Zones and types have a number by name for the life of the process, so rows that were read before, and pools, mean the same whatever the order of the settings' lists. An attempt that is not written yet goes elsewhere where its class may no longer go there; an answer that has begun is waited for once it can't be asked for again.

At 910 rows a swap rebuilds the lists once.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+from contextlib import suppress
 
 from lugspur.config import Config, ConfigError, load
 from lugspur.discovery import Reader
@@ -42,20 +43,22 @@
 
 
 def reload(proxy: Proxy) -> None:
-    """Read the configuration file again; one that can't be read changes nothing."""
+    """Read the configuration file again; one that can't be taken changes nothing, and says so in one line."""
+    # The environment still names the discovery of the start: where it is now is up to the file.
+    environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
     try:
-        # The file alone: the environment still names the discovery of the start.
-        config = load({"RELAY_CONFIG": os.environ.get("RELAY_CONFIG", "")})
+        lines = proxy.reload(load(environ))
     except ConfigError as fault:
-        print(f"lugspur: reload: {fault}", file=sys.stderr, flush=True)
-        return
-    proxy.reload(config)
+        lines = [f"refused, version {proxy.front.version} stays: {fault}"]
+    with suppress(OSError):  # Guards the process against a log that nobody reads any more.
+        for line in lines:
+            print(f"lugspur: reload: {line}", file=sys.stderr, flush=True)
 
 
 async def drain(front: Front, listener: socket.socket) -> None:
     """Take what is still coming, answer all that was taken, and let go of the callers."""
     loop = asyncio.get_running_loop()
-    front.serving = False
+    front.serving, front.draining = False, True
     # Guards what is on its way: the callers' front goes on sending connections for a moment.
     begun = loop.time()
     while (passed := loop.time() - begun) < LISTEN_MOST:
--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -21,6 +21,7 @@
 AGAIN = 0.02  # seconds before a watch that had spoken is opened anew...
 RETRY = 0.1  # ...and before another try: it costs nothing, and what an agent has on return counts at once
 LINE_MOST = 4 << 20  # bytes of one line
+NAMES_MOST = 4096  # names of zones, or of types, that are told apart
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,22 +37,42 @@
     return int.from_bytes(name.encode(), "big")
 
 
+class Numbers:
+    """Numbers of zones or types: a name keeps its own for as long as the process lives.
+
+    Guards placement across a change of settings: rows read before it still say where they are, and a number
+    never comes to mean another zone or type.
+    """
+
+    def __init__(self, names: Mapping[str, int]) -> None:
+        self._numbers = dict(names)
+
+    def of(self, name: str) -> int:
+        """The number of a name, a new one at first sight; -1 beyond what memory allows for."""
+        number = self._numbers.get(name)
+        if number is not None:
+            return number
+        if len(self._numbers) >= NAMES_MOST:
+            return -1
+        return self._numbers.setdefault(name, max(self._numbers.values(), default=-1) + 1)
+
+
 class Reader:
-    """Turns entries of discovery's form into endpoints; names become places in the settings' lists."""
+    """Turns entries of discovery's form into endpoints; names of zones and types become numbers."""
 
     def __init__(self, zones: Mapping[str, int], types: Mapping[str, int]) -> None:
-        self._zones, self._types = zones, types
+        self.zones, self.types = Numbers(zones), Numbers(types)
 
     def endpoint(self, entry: Mapping[str, Any]) -> Endpoint:
-        """One entry; a zone or type that the settings don't name is none of theirs (-1)."""
+        """One entry; no class is bound to a zone or type that the settings don't name."""
         row = ServerRow(
             server_id(entry["name"]),
             STATES[entry["status"]],
-            self._zones.get(entry.get("zone", ""), -1),
+            self.zones.of(entry.get("zone", "")),
             entry.get("group", 0),
             entry.get("weight", 1.0),
             entry.get("since_ms", 0) / 1000.0,
-            self._types.get(entry.get("type", ""), -1),
+            self.types.of(entry.get("type", "")),
         )
         return Endpoint(row, read_address(entry["address"]))
 
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -7,6 +7,7 @@
 import time
 import traceback
 from collections.abc import Callable
+from dataclasses import replace
 
 from jaspershelf.decide import Balancer
 from jaspershelf.model import (
@@ -18,15 +19,18 @@
     Outcome,
     Refuse,
     Repeat,
+    RequestClass,
     Send,
+    Settings,
     State,
     Subscribe,
     Timer,
+    strict_class,
 )
 from lugspur import discovery, upstream
-from lugspur.config import Config
+from lugspur.config import Config, ConfigError
 from lugspur.intake import Rejected, Request
-from lugspur.server import Caller, Facts, Front
+from lugspur.server import Caller, Front
 
 SPARE_SOCKETS = 48  # descriptors for the listener, discovery, the loop, and callers beyond the limit
 CALLERS_PART = 0.5  # of the other descriptors
@@ -34,23 +38,35 @@
 RETRIABLE = (408, 429)  # 4xx that are not the request's fault
 COMPLAIN_EVERY = 1.0  # seconds between two tracebacks in the log
 KNOWN_AFTER = 0.3  # seconds without a word from discovery after which the list known at the start serves
+IDENTITY = ("name", "listen", "seed", "sockets", "memory", "known")  # what a reload does not change
+
+Places = tuple[int, ...] | None  # zones or types that a class is bound to
 
 
 class Call:
     """A request that a final answer is owed for, or that still has attempts out."""
 
-    __slots__ = ("caller", "deadline", "exchanges", "facts", "last", "request", "rid", "timer")
+    __slots__ = ("caller", "deadline", "exchanges", "last", "request", "rid", "row", "timer")
 
-    def __init__(self, rid: str, request: Request, facts: Facts, caller: Caller, deadline: float) -> None:
+    def __init__(
+        self, rid: str, request: Request, row: RequestClass, caller: Caller, deadline: float
+    ) -> None:
         self.rid = rid
         self.request = request
-        self.facts = facts
+        self.row = row  # its class as admitted, narrowed by later settings
         self.caller: Caller | None = caller  # None once nothing is owed
         self.deadline = deadline  # in the loop's time
         self.exchanges: list[upstream.Exchange] = []
         self.last = Outcome.VOID  # how its latest attempt ended
         self.timer: asyncio.TimerHandle | None = None
 
+    def narrow(self, stated: RequestClass) -> None:
+        """The settings have changed: the request may do only what its own class and the stated one allow."""
+        self.row = strict_class(self.row, stated)
+        if self.row.repeat is Repeat.UNSAFE:
+            for exchange in self.exchanges:
+                exchange.once()
+
     def bytes_for(self, left: float) -> bytes:
         """The request as it goes to a backend that is waited for so many seconds."""
         request = self.request
@@ -68,11 +84,12 @@
         self._loop = asyncio.get_running_loop()
         # One epoch for good: the list's times are comparable, and steps of the system's clock do no harm.
         self._epoch = time.time() - self._loop.time()
-        self._balancer = Balancer(config.settings, config.seed)
+        self._reader = discovery.Reader(config.zones, config.types)
+        self._balancer = Balancer(self._numbered(config), config.seed)
+        self._taken = 1  # configurations, one after another
         self._backends: dict[int, upstream.Backend] = {}
         self._calls: dict[str, Call] = {}
         self._open: set[bytes] = set()  # the callers' ids of the requests that an answer is owed for
-        self._repeatable = [row.repeat is not Repeat.UNSAFE for row in config.settings.classes]
         self._count = 0
         self._complained = float("-inf")
         sockets = max(8, config.sockets - SPARE_SOCKETS)
@@ -81,12 +98,11 @@
             sockets - callers, config.conn_idle, config.dial_timeout, config.memory
         )
         self.front = Front(config, callers, self._request)
-        reader = discovery.Reader(config.zones, config.types)
         self._discovery = discovery.Discovery(
-            config.discovery, reader, config.known["index"], self._told
+            config.discovery, self._reader, config.known["index"], self._told
         )
         self.loaded = asyncio.Event()  # the list was told, or nobody is there to tell it
-        self._members(ListKind.STALE, reader.endpoints(config.known))
+        self._members(ListKind.STALE, self._reader.endpoints(config.known))
         self._perform(self._decide(self._balancer.start))
         if config.settings.discovery is Discovery.PUSHED:
             self._discovery.open()
@@ -94,9 +110,64 @@
         wait = self._loaded if config.known["endpoints"] else self.loaded.set
         self._loop.call_later(KNOWN_AFTER, wait)
 
-    def reload(self, config: Config) -> None:
-        """Take over what a new configuration may change while the proxy runs: where discovery is."""
+    def reload(self, config: Config) -> list[str]:
+        """Take over what a new configuration may change while the proxy runs, whole and in one instant.
+
+        That is its settings and where discovery is; what identifies the process stays. Returns a line of text
+        for each thing to tell. Raises ConfigError, with nothing changed, where the settings need a restart.
+        """
+        before = self.front.config
+        kept = {name: getattr(before, name) for name in IDENTITY}
+        lines = [f"{name} is another, which needs a restart: the one of the start stays"
+                 for name, value in kept.items() if getattr(config, name) != value]
+        moved = replace(before, discovery=config.discovery)
+        config = replace(config, **kept)
+        if config != moved and self.front.draining:  # Guards what the end goes by; the list still counts.
+            lines.append(f"the process is ending: version {self.front.version} stays")
+            config = moved
+        elif config != moved:
+            self._swap(config)
+            self._taken += 1
+            self.front.version = config.version(self._taken)
+            lines.append(f"version {self.front.version} is in force")
+        if config.discovery != before.discovery:
+            lines.append("discovery is at {}:{}".format(*config.discovery))
+        self.front.config = config
         self._discovery.move(config.discovery)
+        return lines
+
+    def _swap(self, config: Config) -> None:
+        """Put settings in force; ConfigError, with nothing changed, where they need a restart."""
+        try:
+            actions = self._balancer.reconfigure(self._now(), self._numbered(config))
+        except ValueError as fault:
+            raise ConfigError(str(fault)) from fault
+        self._perform(actions)
+        rows = {row.name: row for row in config.settings.classes}
+        for call in self._calls.values():
+            call.narrow(rows.get(call.row.name, call.row))
+        self._upstream.reconfigure(config.conn_idle, config.dial_timeout)
+        for rid, number in self._balancer.misplaced():
+            exchanges = self._calls[rid].exchanges if rid in self._calls else []
+            # Guards placement: what has not begun goes elsewhere.
+            if exchanges and exchanges[number].connection is None:
+                exchanges[number].end(Outcome.VOID)
+
+    def _numbered(self, config: Config) -> Settings:
+        """The settings with the numbers that zones and types have for as long as this process lives."""
+        def numbers(places: Places, names: dict[str, int], known: discovery.Numbers) -> Places:
+            if places is None:
+                return None
+            listed = list(names)
+            return tuple(sorted({known.of(listed[place]) for place in places}))
+
+        return replace(config.settings, classes=tuple(
+            replace(
+                row, only_kinds=numbers(row.only_kinds, config.types, self._reader.types),
+                only_zones=numbers(row.only_zones, config.zones, self._reader.zones),
+            )
+            for row in config.settings.classes
+        ))
 
     def _now(self) -> float:
         return self._loop.time() + self._epoch
@@ -162,7 +233,7 @@
         self._open.add(name)
         deadline = min(request.arrived + facts.timeout, self.front.ending) - ANSWER_EARLY
         self._count += 1
-        call = Call(str(self._count), request, facts, caller, deadline)
+        call = Call(str(self._count), request, facts.row, caller, deadline)
         self._calls[call.rid] = call
         caller.gone = lambda: self._gone(call)
         call.timer = self._loop.call_at(deadline, self._overdue, call)
@@ -255,7 +326,7 @@
         ) -> None:
             self._outcome(call, number, exchange, outcome, response)
 
-        repeatable = self._repeatable[call.facts.kind]
+        repeatable = call.row.repeat is not Repeat.UNSAFE
         backend = self._backends[action.server]
         exchange = upstream.Exchange(backend, now, until, call.bytes_for, report, repeatable)
         call.exchanges.append(exchange)
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -12,7 +12,7 @@
 from http import HTTPStatus
 from math import inf
 
-from jaspershelf.model import Repeat
+from jaspershelf.model import Repeat, RequestClass
 from lugspur.config import Config
 from lugspur.intake import Intake, Rejected, Request
 
@@ -40,22 +40,25 @@
 class Facts:
     """What the decisions need of a request."""
 
-    kind: int
+    kind: int  # its class's place in the settings that it was classified under
     tenant: int
     timeout: float
     cost: float
     retry: bool
+    row: RequestClass
 
 
 class Front:
     """All connections of callers, within a limit on their number."""
 
     def __init__(self, config: Config, most: int, handle: Callable[[Request, Caller], None]) -> None:
-        self.config = config
+        self.config = config  # the one in force; what identifies the process stays
+        self.version = config.version(1)
         self.handle = handle
         self.most = most
         self.ready = False  # the list is loaded
         self.serving = False  # the listener accepts, and is to go on
+        self.draining = False  # the process has been told to end
         self.closed = inf  # the loop's time from which answers close their connection
         self.ending = inf  # the loop's time by which what is taken from now on needs its answer
         self.held = 0  # bytes of bodies that are not whole
@@ -161,7 +164,8 @@
         cost = get(b"x-cost", b"")
         guess = float(cost) / 1e6 if TIME.fullmatch(cost) else 0.0
         # Guards timers and memory against absurd times: no client waits longer than its class's deadline.
-        return Facts(kind, tenant, min(float(timeout), row.deadline), guess, get(b"x-retried") == b"1")
+        retry = get(b"x-retried") == b"1"
+        return Facts(kind, tenant, min(float(timeout), row.deadline), guess, retry, row)
 
 
 class Caller(asyncio.BufferedProtocol):
@@ -287,7 +291,8 @@
         path = request.target.partition(b"?")[0]
         if path == b"/healthz" and request.method == b"GET":
             healthy = self._front.healthy()
-            self.answer(200 if healthy else 503, b"", b"ok\n" if healthy else b"not ready\n")
+            body = b"%b\nversion %b\n" % (b"ok" if healthy else b"not ready", self._front.version.encode())
+            self.answer(200 if healthy else 503, b"", body)
         elif path == b"/api" or path.startswith(b"/api/"):  # a request without a key has no last part
             if self._front.full(self):
                 raise Rejected(503, "too many connections")
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -143,6 +143,13 @@
             self.connection = None
         self._report(self, outcome, response)
 
+    def once(self) -> None:
+        """From now on it must not be sent again: an answer that has begun is waited for to the end."""
+        if self.repeatable and self.open and self.timer is not None:
+            self.timer.cancel()
+            self.timer = asyncio.get_running_loop().call_at(self.until, self.expire)
+        self.repeatable = False
+
     def expire(self) -> None:
         """The time that this attempt is waited for is up."""
         self.end(Outcome.TIMEOUT if self._may_have_run() else Outcome.UNREACHABLE)
@@ -361,8 +368,6 @@
     def __init__(self, most: int, conn_idle: float, dial_timeout: float, memory: int) -> None:
         self._loop = asyncio.get_running_loop()
         self._most = most
-        self._keep = IDLE_PART * conn_idle
-        self._dial_timeout = dial_timeout
         self.buffer = memoryview(bytearray(READ))
         self.keeping = Keeping(self._loop.time())
         self._dialling = 0
@@ -370,7 +375,17 @@
         self.held = 0  # bytes of answers that are not whole
         self._held_most = int(HELD_PART * memory)
         self._idle: dict[Connection, None] = {}  # the longest idle first
-        self._loop.call_later(self._keep / 4.0, self._sweep)
+        self._sweeping: asyncio.TimerHandle | None = None
+        self.reconfigure(conn_idle, dial_timeout)
+
+    def reconfigure(self, conn_idle: float, dial_timeout: float) -> None:
+        """From now on backends close idle connections, and dials are given up, after so many seconds.
+
+        Dials that have begun keep their time.
+        """
+        self._keep = IDLE_PART * conn_idle
+        self._dial_timeout = dial_timeout
+        self._sweep()
 
     def update(self, backend: Backend, address: Address, started: float, in_service: bool) -> None:
         """What the list says of a backend now."""
@@ -517,7 +532,9 @@
 
     def _sweep(self) -> None:
         """Close what has been idle for long: a request that meets the backend's own close is lost."""
-        self._loop.call_later(self._keep / 4.0, self._sweep)
+        if self._sweeping is not None:
+            self._sweeping.cancel()
+        self._sweeping = self._loop.call_later(self._keep / 4.0, self._sweep)
         latest = self._loop.time() - self._keep
         for connection in tuple(self._idle):
             if connection.idle_since > latest:
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,462 @@
+"""A configuration read again while the proxy runs, on loopback sockets: what is taken, kept and refused."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import (
+    HOST,
+    NEVER_RAN,
+    OK,
+    WIRE,
+    Clock,
+    Gate,
+    Running,
+    backend,
+    book,
+    entry,
+    free_port,
+    read,
+    soon,
+    status,
+    until,
+    watches,
+)
+from test_config import BAD, bad, lines, path
+from test_server import ROOT, up_and_ready
+
+from jaspershelf import decide
+from jaspershelf.model import ListKind
+from lugspur.__main__ import reload
+from lugspur.config import load
+from lugspur.proxy import Proxy
+
+READ, BOOK, ONCE = WIRE["Services"]
+__all__ = ["path"]  # a fixture
+HEALTH = b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class File:
+    """The configuration file of a proxy."""
+
+    def __init__(self, path: Path, known: list[dict[str, Any]], discovery: int = 9) -> None:
+        self.path = path
+        self.top: dict[str, Any] = {
+            "name": "n0", "listen": f"{HOST}:0", "discovery": f"{HOST}:{discovery}", "seed": "1",
+            "limits": {"sockets": 1024, "memory_mb": 64},
+            "known": {"index": 7, "snapshot": True, "endpoints": known}, "settings": WIRE,
+        }
+        self.write()
+
+    def write(self, top: dict[str, Any] | None = None, **settings: Any) -> None:
+        """The usual file with other entries at its top, and other settings."""
+        self.path.write_text(json.dumps(self.top | {"settings": WIRE | settings} | (top or {})))
+
+
+class Site(Running):
+    """A proxy in this process, with its file."""
+
+    def __init__(self, proxy: Proxy, port: int, file: File) -> None:
+        super().__init__(proxy, port)
+        self.file = file
+
+    def reload(self, top: dict[str, Any] | None = None, **settings: Any) -> None:
+        """Change the file, and do what SIGHUP does."""
+        self.file.write(top, **settings)
+        reload(self.proxy)
+
+    async def health(self) -> tuple[int, list[bytes]]:
+        """The status and the lines of the body that `/healthz` answers."""
+        answer = await (await self.client()).ask(HEALTH)
+        return status(answer), answer.partition(b"\r\n\r\n")[2].splitlines()
+
+
+@asynccontextmanager
+async def site(path: Path, known: list[dict[str, Any]], discovery: int = 9) -> AsyncIterator[Site]:
+    """A proxy on a free port, from its file."""
+    file = File(path, known, discovery)
+    proxy = Proxy(load(os.environ))
+    sock = await proxy.front.listen()
+    try:
+        yield Site(proxy, sock.getsockname()[1], file)
+    finally:
+        await proxy.front.stop_listening(sock)
+        proxy.front.close()
+
+
+def of(kind: str, number: int, method: str = "GET") -> bytes:
+    """A request of a class."""
+    return read(number, X_Priority_Class=kind).replace(b"GET", method.encode(), 1)
+
+
+# ---- requests in flight ------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("services", [
+    [BOOK, READ, ONCE | {"Name": "new", "Repeat": "retryable"}],
+    [READ | {"Name": "new"}, READ],
+    [READ | {"Name": "new"}],
+])
+def test_classes_change_under_a_request(path: Path, services: list[dict[str, Any]]) -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, site(path, [entry("a", one.address)]) as up:
+            client, other = await up.client(), await up.client()
+            client.writer.write(book(1))
+            await soon(one.got.get())
+            up.reload(Services=services)
+            assert status(await other.ask(of("once", 2))) == 400  # gone
+            other = await up.client()
+            other.writer.write(of("new", 3))
+            assert b"id3" in await soon(one.got.get())
+            for writer in one.open:
+                writer.write(OK)
+            assert status(await client.answer()) == 200 == status(await other.answer())
+            left = next((row for row in services if row["Name"] == "book"), None)
+            one.script = lambda _: OK
+            assert status(await client.ask(book(4))) == (200 if left else 400)
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(("first", "then"), [
+    (book, [READ, BOOK | {"Repeat": "retryable"}]),  # may be repeated by now
+    (read, [READ | {"Repeat": "fragile"}, BOOK]),  # may not be repeated any more
+    (book, [READ]),  # gone
+])
+@pytest.mark.parametrize("end", ["resets", "errs"])
+def test_what_may_have_run_is_neither_sent_again_nor_refused(
+    path: Path, first: Any, then: list[dict[str, Any]], end: str
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, site(path, [entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(first(1))
+            await soon(one.got.get())
+            async with backend(lambda _: OK) as two:
+                up.tell([entry("b", two.address)])
+                up.reload(Services=then)
+                if end == "resets":
+                    one.open[0].close()
+                else:
+                    one.open[0].write(b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")
+                assert status(await client.answer()) == 502
+                assert two.got.empty()
+
+    asyncio.run(play())
+
+
+def test_what_never_ran_goes_on_under_the_class_it_came_with(path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, backend(lambda _: OK) as two:
+            async with site(path, [entry("a", one.address)]) as up:
+                client = await up.client()
+                client.writer.write(book(1))
+                await soon(one.got.get())
+                up.tell([entry("b", two.address)])
+                up.reload(Services=[READ])
+                one.open[0].write(NEVER_RAN)
+                assert status(await client.answer()) == 200
+
+    asyncio.run(play())
+
+
+def test_an_answer_that_has_begun_is_waited_for_once_it_can_not_be_asked_for_again(path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK[:-2]) as one:
+            clock = Clock()
+            async with site(path, [entry("a", one.address)]) as up:
+                client = await up.client()
+                client.writer.write(read(1))
+                calls = up.proxy._calls
+                await clock.until(lambda: any(
+                    exchange.connection is not None and exchange.connection._begun
+                    for call in calls.values() for exchange in call.exchanges
+                ))
+                up.reload(Services=[READ | {"Repeat": "fragile"}])
+                await clock.move(1.0)
+                one.open[0].write(OK[-2:])
+                assert status(await client.answer()) == 200
+
+    asyncio.run(play())
+
+
+def test_a_request_that_waits_is_classified_when_it_is_taken_up(path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, site(path, [entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(book(1) + of("book", 2) + of("book", 3, "POST"))
+            await soon(one.got.get())
+            up.reload(Services=[READ, BOOK | {"Repeat": "retryable"}])
+            one.script = lambda _: OK
+            one.open[0].write(OK)
+            assert [status(await client.answer()) for _ in range(3)] == [200, 200, 400]
+
+    asyncio.run(play())
+
+
+# ---- places, servers, limits -----------------------------------------------------------------
+
+
+def test_zones_and_types_keep_their_meaning_when_their_order_changes(path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
+            far = entry("b", two.address) | {"zone": "there", "type": "unlisted"}
+            strange = entry("c", f"{HOST}:9") | {"zone": "nowhere", "type": "strange"}
+            listed = [entry("a", one.address), far, strange]
+            async with site(path, listed) as up:
+                client = await up.client()
+                number = 0
+                for services, zones, types, got in (
+                    ([READ | {"AllowedIn": [1]}], ["there", "here"], ["k"], one),
+                    ([READ | {"AllowedIn": [2]}], ["x", "here", "there"], ["y", "k"], two),
+                    ([READ | {"BoundTo": [1]}], ["here"], ["k", "unlisted"], two),
+                    ([READ | {"BoundTo": [1]}], [], ["unlisted", "k"], one),
+                ):
+                    up.reload(Services=services, Zones=zones, HostTypes=types, Zone=0)
+                    assert list(up.proxy.front.config.types) == types  # it was taken
+                    for again in range(8):
+                        number += 1
+                        if again == 4:  # a list told from now on is read as the one before
+                            up.proxy._told(ListKind.PATCH, up.proxy._reader.endpoints({"endpoints": listed}))
+                        assert status(await client.ask(read(number))) == 200
+                        assert b"id%d\r\n" % number in await soon(got.got.get())
+                        assert len(up.proxy._balancer.pool_of[0].ready) == 1
+                assert one.got.empty() and two.got.empty()
+
+    asyncio.run(play())
+
+
+def test_what_is_not_sent_yet_goes_where_its_class_may_still_go(
+    path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
+            async with site(path, [entry("a", one.address)]) as up:
+                client = await up.client()
+                gate = Gate(monkeypatch)
+                client.writer.write(book(1))
+                await until(lambda: gate.waiting == 1)
+                reader = up.proxy._reader
+                up.proxy._told(ListKind.PATCH, reader.endpoints(
+                    {"endpoints": [entry("b", two.address) | {"zone": "there"}]}))
+                up.reload(Services=[READ, BOOK | {"AllowedIn": [1]}])
+                gate.open.set()
+                assert status(await client.answer()) == 200
+                assert b"id1" in await soon(two.got.get()) and one.got.empty()
+
+    asyncio.run(play())
+
+
+def test_a_server_that_drains_goes_on_draining(path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, site(path, [entry("a", one.address)]) as up:
+            client = await up.client()
+            assert status(await client.ask(read(1))) == 200
+            up.tell([entry("a", one.address, "terminating")])
+            up.reload(Services=[READ | {"Aim": 30.0}, READ | {"Name": "new"}])
+            assert status(await client.ask(read(2))) == 503
+            assert status(await client.ask(of("new", 3))) == 503
+
+    asyncio.run(play())
+
+
+def test_idle_connections_and_dials_go_by_the_new_times(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            clock = Clock()
+            async with site(path, [entry("a", one.address)]) as up:
+                client = await up.client()
+                assert status(await client.ask(read(1))) == 200
+                await clock.move(2.0)
+                assert one.ended.empty()
+                up.reload(Bounds=WIRE["Bounds"] | {"ConnIdle": 3.0, "DialTimeout": 0.5, "MaxAttempts": 1})
+                await clock.until(lambda: one.ended.qsize() == 1)
+                gate = Gate(monkeypatch)
+                client.writer.write(read(2))
+                await clock.until(lambda: gate.waiting == 1)
+                await clock.move(0.6)
+                assert status(await client.answer()) == 503
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("swap", [{"Services": [READ]}, {"Instances": 30, "Ordinal": 7}])
+def test_a_swap_at_size_rebuilds_the_lists_once(
+    path: Path, monkeypatch: pytest.MonkeyPatch, swap: dict[str, Any]
+) -> None:
+    async def play() -> None:
+        async with site(path, [entry(f"s{n}", f"{HOST}:9") for n in range(910)]) as up:
+            done: list[str] = []
+
+            def counted(name: str) -> Callable[..., Any]:
+                method = getattr(decide.Balancer, name)
+
+                def call(*args: Any) -> Any:
+                    done.append(name)
+                    return method(*args)
+
+                return call
+
+            for name in ("_arrange", "members"):
+                monkeypatch.setattr(decide.Balancer, name, counted(name))
+            before = [server.row.server for server in up.proxy._balancer.pools[0].working]
+            up.reload(**swap)
+            assert done == ["_arrange"]
+            after = [server.row.server for server in up.proxy._balancer.pools[0].working]
+            assert (after != before) == ("Ordinal" in swap)
+
+    asyncio.run(play())
+
+
+# ---- the version, and what is refused -----------------------------------------------------------
+
+
+def test_the_version_in_force_is_visible(path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    async def play() -> None:
+        async with site(path, []) as up:
+            up.proxy.front.ready = True
+            code, [word, first] = await up.health()
+            assert code == 200 and word == b"ok" and first.startswith(b"version 1-")
+            up.reload(Instances=2)
+            [line] = lines(capsys)
+            code, [word, second] = await up.health()
+            assert code == 200 and second.startswith(b"version 2-") and second[10:] != first[10:]
+            assert line == f"lugspur: reload: {second.decode()} is in force"
+            up.reload({"version": 41}, Instances=2)
+            assert lines(capsys) == [f"lugspur: reload: version 41-{second[10:].decode()} is in force"]
+            up.reload()
+            assert (await up.health())[1][1] == b"version 4-" + first[10:]
+            up.proxy.front.ready = False
+            assert (await up.health())[0] == 503
+
+    asyncio.run(play())
+
+
+def test_an_unchanged_configuration_changes_nothing(path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, site(path, [entry("a", one.address)]) as up:
+            client = await up.client()
+            assert status(await client.ask(read(1))) == 200
+            proxy, balancer = up.proxy, up.proxy._balancer
+            kept = [balancer.settings, balancer.pools, balancer.took, balancer.due, proxy._upstream._sweeping]
+            order = dict(reversed(up.file.top.items())) | {"settings": dict(reversed(WIRE.items()))}
+            for top in (None, order, {"discovery": f"{HOST}:10"}):
+                up.reload(top)
+            now = [balancer.settings, balancer.pools, balancer.took, balancer.due, proxy._upstream._sweeping]
+            assert all(a is b for a, b in zip(kept, now, strict=True))
+            assert lines(capsys) == [f"lugspur: reload: discovery is at {HOST}:10"]
+            assert (await up.health())[1][1].startswith(b"version 1-")
+
+    asyncio.run(play())
+
+
+def test_what_identifies_the_process_stays(path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, site(path, [entry("a", one.address)]) as up:
+            top = {"name": "n1", "listen": f"{HOST}:1", "seed": "2", "limits": {"sockets": 1, "memory_mb": 1},
+                   "known": {"index": 9, "endpoints": []}}
+            up.reload(top)
+            said = [line.split()[2] for line in lines(capsys)]
+            assert said == ["name", "listen", "seed", "sockets", "memory", "known"]
+            assert status(await (await up.client()).ask(read(1))) == 200
+            assert up.proxy.front.config.name == "n0" and up.proxy.front.config.sockets == 1024
+            up.reload(top, Instances=2)  # the settings beside them are taken
+            assert "in force" in lines(capsys)[-1]
+
+    asyncio.run(play())
+
+
+RESTART: dict[str, bytes] = {
+    "tier": bad(Tier=1, Tiers=["one", "two"]), "discovery": bad(RegistryMode="on_request"),
+}
+
+
+@pytest.mark.parametrize("data", [*BAD.values(), *RESTART.values(), None], ids=[*BAD, *RESTART, "no file"])
+def test_a_bad_file_keeps_the_last_good_one_and_prints_one_line(
+    path: Path, data: bytes | None, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, site(path, [entry("a", one.address)]) as up:
+            up.reload(Instances=3)
+            version = up.proxy.front.version
+            assert len(lines(capsys)) == 1
+            before = up.proxy.front.config
+            settings = up.proxy._balancer.settings
+            if data is None:
+                path.unlink()
+            else:
+                path.write_bytes(data)
+            reload(up.proxy)
+            [line] = lines(capsys)
+            assert line.startswith(f"lugspur: reload: refused, version {version} stays: ")
+            assert "Traceback" not in line and len(line) < 600 and line.isprintable()
+            assert up.proxy.front.config is before and up.proxy._balancer.settings is settings
+            assert status(await (await up.client()).ask(read(1))) == 200
+            up.reload()
+            assert "in force" in lines(capsys)[0]
+
+    asyncio.run(play())
+
+
+# ---- signals ------------------------------------------------------------------------------------
+
+
+def test_one_signal_brings_settings_and_discovery(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with watches() as old, watches() as new, backend(lambda _: None) as one:
+            port = free_port()
+            file = File(tmp_path / "c.json", [], old.port)
+            file.top["listen"] = f"{HOST}:{port}"
+            file.write()
+            env = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "lugspur", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+                env=env | {"RELAY_CONFIG": str(file.path)})
+            assert process.stderr is not None
+            await soon(old.asked.get())
+            old.say(8, [entry("a", one.address)])
+            await up_and_ready(port)
+            client = Running(None, port)  # type: ignore[arg-type]
+            caller = await client.client()
+            caller.writer.write(book(1, timeout="15"))
+            await soon(one.got.get())
+            file.top["discovery"] = f"{HOST}:{new.port}"
+            file.write({"version": "v2"}, Services=[READ, READ | {"Name": "new"}])
+            process.send_signal(signal.SIGHUP)
+            assert (await soon(process.stderr.readline())).startswith(b"lugspur: reload: version v2-")
+            line = await soon(process.stderr.readline())
+            assert line.decode() == f"lugspur: reload: discovery is at {HOST}:{new.port}\n"
+            await soon(new.asked.get())
+            for _ in range(5):  # the same file again and again: nothing to say
+                process.send_signal(signal.SIGHUP)
+            other = await client.client()
+            other.writer.write(of("new", 2))
+            assert b"id2" in await soon(one.got.get())
+            process.send_signal(signal.SIGTERM)
+            late = await client.client()
+            late.writer.write(of("new", 3))  # it has begun to end
+            assert b"id3" in await soon(one.got.get())
+            health = await (await client.client()).ask(HEALTH)
+            while status(health) != 503:
+                health = await (await client.client()).ask(HEALTH)
+            file.write(Services=[READ])
+            process.send_signal(signal.SIGHUP)
+            line = await soon(process.stderr.readline())
+            assert line.startswith(b"lugspur: reload: the process is ending: version v2-")
+            for writer in one.open:
+                writer.write(OK)
+            for waiting in (caller, other, late):
+                assert status(await waiting.answer()) == 200
+            assert await soon(process.wait()) == 0
+            assert await process.stderr.read() == b""
+
+    asyncio.run(play())
