Config: a group says nothing of classes that are not keyed

Cause: every `Group` had to be a known word, also where no rule reads it; a site may write another there.

A test changes the tenants under a request in flight.

--- a/lugspur/config.py
+++ b/lugspur/config.py
@@ -11,7 +11,7 @@
 import orjson
 
 from jaspershelf.adapter import DISCOVERY, GROUPS, REPEATS, read_settings
-from jaspershelf.model import Settings
+from jaspershelf.model import Repeat, Settings
 
 Address = tuple[str, int]
 CONFIG_MOST = 4 << 20  # bytes of the file: as much as one list of discovery may take
@@ -93,7 +93,8 @@
     stated: list[tuple[str, Any, Mapping[str, Any]]] = [("RegistryMode", wire.get("RegistryMode"), DISCOVERY)]
     for n, row in enumerate(wire.get("Services") or ()):
         stated.append((f"Services[{n}].Repeat", row.get("Repeat"), REPEATS))
-        stated.append((f"Services[{n}].Group", row.get("Group"), GROUPS))
+        if REPEATS.get(row.get("Repeat")) is Repeat.KEYED:  # it says nothing of others
+            stated.append((f"Services[{n}].Group", row.get("Group"), GROUPS))
     for at, word, words in stated:
         if word is not None and word not in words:
             raise ValueError(f"{at}: {word!r} is not one of {', '.join(words)}")
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -203,6 +203,26 @@
     asyncio.run(play())
 
 
+def test_tenants_change_under_a_request(path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, site(path, [entry("a", one.address)]) as up:
+            client, other = await up.client(), await up.client()
+            client.writer.write(read(1))
+            await soon(one.got.get())
+            up.reload(Orgs=[{"Name": "new", "AllowancePerS": 9.0}, {"Name": "acme", "AllowancePerS": 5.0}])
+            one.script = lambda _: OK
+            assert status(await other.ask(read(2, X_Tenant_Id="new"))) == 200
+            assert status(await other.ask(read(3))) == 200
+            balancer = up.proxy._balancer
+            assert [int(due) for due in balancer.due] == [45, 0]
+            up.reload(Orgs=[{"Name": "new", "AllowancePerS": 9.0}])
+            assert status(await other.ask(read(4))) == 400
+            one.open[0].write(OK)
+            assert status(await client.answer()) == 200
+
+    asyncio.run(play())
+
+
 # ---- places, servers, limits -----------------------------------------------------------------
 
 
