--- a/jaspershelf/model.py
+++ b/jaspershelf/model.py
@@ -9,10 +9,12 @@
 import math
 import sys
 from collections.abc import Mapping
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field, fields, replace
 from enum import Enum
 from typing import Any
 
+COUNT_MOST = 1 << 20  # balancers, tiers or zones: shares of them must not vanish among the figures
+
 ServerId = int
 RequestId = str
 
@@ -74,12 +76,22 @@
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID})
 
 
-def _number(name: str, value: float, low: float = 0.0, high: float = math.inf) -> None:
-    ok = isinstance(value, (int, float)) and not isinstance(value, bool) and low <= value <= high
-    if not ok or not math.isfinite(value):
+def _number(name: str, value: float, low: float = 0.0, high: float = sys.float_info.max) -> None:
+    # Whole numbers have no limit: the comparison tells those that no float holds, which float() would not.
+    if not isinstance(value, (int, float)) or isinstance(value, bool) or not low <= value <= high:
         raise ValueError(f"{name}: {value!r} is not a number from {low} to {high}")
 
 
+def _flag(name: str, value: bool) -> None:
+    if not isinstance(value, bool):
+        raise ValueError(f"{name}: {value!r} is neither true nor false")
+
+
+def _text(name: str, value: str) -> None:
+    if not isinstance(value, str):
+        raise ValueError(f"{name}: {value!r} is not a text")
+
+
 def _index(name: str, value: int, count: int) -> None:
     if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value < count:
         raise ValueError(f"{name}: {value!r} is not a whole number from 0 to {count - 1}")
@@ -103,6 +115,8 @@
 
     def check(self, at: str) -> None:
         """Raise ValueError for values that make no sense."""
+        _text(f"{at}.name", self.name)
+        _flag(f"{at}.streaming", self.streaming)
         for name in ("aim", "deadline", "window", "worth"):
             _number(f"{at}.{name}", getattr(self, name))
         _number(f"{at}.late_worth", self.late_worth, 0.0, 1.0)
@@ -123,6 +137,7 @@
 
     def check(self, at: str) -> None:
         """Raise ValueError for values that make no sense."""
+        _text(f"{at}.name", self.name)
         _number(f"{at}.share", self.share, 0.0, 1.0)
         _number(f"{at}.quota", self.quota)
 
@@ -139,6 +154,8 @@
 
     def check(self, at: str) -> None:
         """Raise ValueError for values that make no sense."""
+        for name in ("cancel", "second_copies", "retry_after"):
+            _flag(f"{at}.{name}", getattr(self, name))
         _number(f"{at}.max_attempts", self.max_attempts, 1)
         _number(f"{at}.max_retry_after", self.max_retry_after)
 
@@ -193,12 +210,28 @@
         for i, tenant in enumerate(self.tenants):
             tenant.check(f"tenants[{i}]")
         for name, count in (("me", "balancers"), ("tier", "tiers"), ("zone", "zones")):
-            _number(count, getattr(self, count), 1)
+            _number(count, getattr(self, count), 1, COUNT_MOST)
             _index(name, getattr(self, name), getattr(self, count))
+        for name in ("passes_deadline", "marks_retry"):
+            _flag(name, getattr(self, name))
         _number("over_share_worth", self.over_share_worth, 0.0, 1.0)
         self.limits.check("limits")
         self.rules.check("rules")
 
+    def check_swap(self, stated: Settings) -> None:
+        """Raise ValueError where a running instance can't go on with these settings instead of its own.
+
+        What is learned is kept by name, so classes and tenants need names of their own. Tier and way of
+        discovery say which servers an instance has, and how it hears of them: those need a new instance.
+        """
+        stated.check()
+        for name in ("tier", "discovery"):
+            if getattr(stated, name) != getattr(self, name):
+                raise ValueError(f"{name}: a change of it needs a restart")
+        for name in ("classes", "tenants"):
+            names = [row.name for row in getattr(stated, name)]
+            if len(set(names)) < len(names):
+                raise ValueError(f"{name}: two have the same name")
 
     def check_request(self, kind: int, tenant: int, deadline: float | None, cost: float) -> None:
         """Raise ValueError naming the argument of a request that makes no sense."""
@@ -209,6 +242,39 @@
         _number("cost", cost)
 
 
+def _both(one: tuple[int, ...] | None, other: tuple[int, ...] | None) -> tuple[int, ...] | None:
+    if one is None or other is None:
+        return other if one is None else one
+    return tuple(place for place in one if place in other)
+
+
+def strict_class(admitted: RequestClass, stated: RequestClass) -> RequestClass:
+    """The class of a request in flight whose settings have changed: it may do only what both allow.
+
+    Where the two differ in how far it may be repeated, it is not repeated once it may have run.
+    """
+    differ = admitted.repeat is not stated.repeat
+    differ = differ or (stated.repeat is Repeat.KEYED and admitted.group is not stated.group)
+    return replace(
+        admitted,
+        repeat=Repeat.UNSAFE if differ else admitted.repeat,
+        window=min(admitted.window, stated.window),
+        streaming=admitted.streaming or stated.streaming,
+        only_kinds=_both(admitted.only_kinds, stated.only_kinds),
+        only_zones=_both(admitted.only_zones, stated.only_zones),
+    )
+
+
+def strict_limits(admitted: Limits, stated: Limits) -> Limits:
+    """What the deployment permits of a request in flight once the limits have changed: what both permit."""
+    return replace(
+        admitted,
+        cancel=admitted.cancel and stated.cancel,
+        second_copies=admitted.second_copies and stated.second_copies,
+        max_attempts=min(admitted.max_attempts, stated.max_attempts),
+    )
+
+
 def pick_known(kind: type, values: Mapping[str, Any]) -> dict[str, Any]:
     """The entries of `values` that are fields of `kind` and not None; others are ignored."""
     names = {item.name for item in fields(kind)}
