--- /dev/null
+++ b/tests/test_emulator_result.py
@@ -0,0 +1,18 @@
+"""Results carry what they were measured with."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from emulator.result import write
+
+
+def test_a_result_names_its_seed_machine_and_versions(tmp_path: Path) -> None:
+    path = write("trial", 7, {"points": [[1, 2.0]]}, tmp_path / "deep" / "out")
+    read = json.loads(path.read_text())
+    assert path.name == "trial.json"
+    assert (read["run"], read["seed"], read["points"]) == ("trial", 7, [[1, 2.0]])
+    assert read["machine"]["cpus"] >= 1
+    assert {"cpus", "model", "python"} <= read["machine"].keys()
+    assert {"commit", "numpy", "orjson"} <= read["versions"].keys()
