emulator: runs slopes, hollow and fleet, budgets, command line, make scale

Cause: figures of the size need runs that anybody can repeat. The registry tells the whole list to all who come back after it lost its log.

--- a/Makefile
+++ b/Makefile
@@ -6,3 +6,13 @@
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
 	$(PYTHON) -m pytest
+
+# What the size costs on this machine, with nothing else running: results/*.json, some minutes.
+.PHONY: scale
+scale:
+	$(PYTHON) -m emulator all
+
+# A small edition: exits non-zero where a budget that is said to be held is over.
+.PHONY: scale-quick
+scale-quick:
+	@$(PYTHON) -m emulator all --quick --out build/scale
--- /dev/null
+++ b/emulator/__main__.py
@@ -0,0 +1,102 @@
+"""The command line: `python -m emulator RUN`."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+
+from emulator.budgets import check
+from emulator.result import RESULTS
+from emulator.runs import fleet, hollow, slopes
+from emulator.runs.common import Done, Options, say
+
+RUNS: dict[str, Callable[[Options], Done]] = {
+    "slopes": slopes.run, "hollow": hollow.run, "fleet": fleet.run,
+}
+
+
+def options(command: Callable[..., Any]) -> Callable[..., Any]:
+    """The options that every run has."""
+    for option in (
+        click.option("--quick", is_flag=True, help="A small edition."),
+        click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=RESULTS,
+                     help="Folder for the result (default: results/ of this tree)."),
+        click.option("--seed", type=click.IntRange(0, 2**32 - 1), default=1, show_default=True,
+                     help="For everything random."),
+    ):
+        command = option(command)
+    return command
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def cli() -> None:
+    """Measure on one machine what the size costs."""
+
+
+def _report(figures: dict[str, float]) -> int:
+    """Print the verdict; the exit code."""
+    verdict = check(figures)
+    print(verdict.line(), flush=True)
+    return 1 if verdict.broken else 0
+
+
+def _command(name: str, run: Callable[[Options], Done]) -> click.Command:
+    @click.command(name, help=(run.__doc__ or name).partition("\n")[0])
+    @options
+    def command(seed: int, out: Path, quick: bool) -> None:
+        done = run(Options(seed, out, quick))
+        say(name, f"result in {done.path}")
+        sys.exit(_report(done.figures))
+
+    return command
+
+
+for _name, _run in RUNS.items():
+    cli.add_command(_command(_name, _run))
+
+
+@cli.command("all", help="All runs that feed the budgets, one after the other.")
+@options
+def run_all(seed: int, out: Path, quick: bool) -> None:
+    """Every run; exits 1 where a budget that is said to be held is over."""
+    figures: dict[str, float] = {}
+    for name, run in RUNS.items():
+        say(name, "begins")
+        figures |= run(Options(seed, out, quick)).figures
+    sys.exit(_report(figures))
+
+
+try:  # the run of real processes under calls, where it is there
+    cli.add_command(importlib.import_module("emulator.added").command)
+except ModuleNotFoundError as _fault:
+    if _fault.name != "emulator.added":
+        raise
+
+
+def main() -> int:
+    """Run; bad arguments are one line on standard error and 2."""
+    try:
+        cli.main(standalone_mode=False)
+    except click.exceptions.NoArgsIsHelpError as fault:
+        print(f"emulator: a command is needed: {', '.join(cli.list_commands(fault.ctx))}"
+              if fault.ctx else "emulator: a command is needed", file=sys.stderr)
+        return 2
+    except click.UsageError as fault:
+        print(f"emulator: {' '.join(fault.format_message().split())}", file=sys.stderr)
+        return 2
+    except click.Abort:
+        print("emulator: interrupted", file=sys.stderr)
+        return 130
+    except OSError as fault:
+        print(f"emulator: {fault}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/emulator/budgets.py
@@ -0,0 +1,67 @@
+"""The budgets of the target, which of them are held today, and what a set of figures says of them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    """One limit: `figure` is the name that runs give their figure; `held` says whether it must hold today."""
+
+    figure: str
+    name: str
+    limit: float
+    unit: str
+    held: bool
+    reason: str
+
+
+BUDGETS = (
+    Budget("processor_mean", "processor time for control, mean over the day", 4.7, "% of a core", True,
+           "2,900 changes a day are one in 30 s"),
+    Budget("processor_worst", "processor time for control, worst 10 s", 4.7, "% of a core", False,
+           "a zone told row by row rebuilds the whole list at each row"),
+    Budget("memory", "resident memory of a proxy without calls", 64.0, "MB", True,
+           "one list and the interpreter"),
+    Budget("bytes_mean", "bytes for control, mean over the day", 4096.0, "B/s", True,
+           "a change is told by itself, not with the whole list"),
+    Budget("bytes_worst", "bytes for control, worst 10 s", 4096.0, "B/s", False,
+           "a control machine that has lost its log tells the whole list"),
+    Budget("change_age", "age of a change at the last proxy", 6.0, "s", True,
+           "changes at the rate of the run, no cut"),
+    Budget("change_hold", "one changed row holds the loop of a proxy that sees all rows", 1.1, "ms", False,
+           "the ready list, the groups and the slice are rebuilt at each change"),
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """What was checked, and which budgets were over; `broken` are those over that are said to be held."""
+
+    checked: tuple[str, ...]
+    over: tuple[str, ...]
+    broken: tuple[str, ...]
+
+    def line(self) -> str:
+        """One line for people."""
+        over = "; ".join(self.over) or "none"
+        return f"checked {len(self.checked)} budgets ({', '.join(self.checked)}); over: {over}"
+
+
+def check(figures: Mapping[str, float], budgets: Iterable[Budget] = BUDGETS) -> Verdict:
+    """Compare figures with the budgets that they speak of."""
+    checked, over, broken = [], [], []
+    for budget in budgets:
+        if budget.figure not in figures:
+            continue
+        checked.append(budget.figure)
+        figure = figures[budget.figure]
+        if figure <= budget.limit:
+            continue
+        stand = "said to be held" if budget.held else "known"
+        over.append(f"{budget.figure} {figure:.3g} of {budget.limit:g} {budget.unit} ({stand})")
+        if budget.held:
+            broken.append(budget.figure)
+    return Verdict(tuple(checked), tuple(over), tuple(broken))
--- a/emulator/fit.py
+++ b/emulator/fit.py
@@ -54,6 +54,6 @@
 
 
 def both(xs: Sequence[float], ys: Sequence[float]) -> list[dict[str, Any]]:
-    """Both fits as plain values, the one that leaves less over first."""
-    fits = sorted((line(xs, ys), n_log_n(xs, ys)), key=lambda fit: fit.residual)
-    return [fit.as_dict() for fit in fits]
+    """Both fits as plain values, the one that leaves less over first; the line alone where an x is 0."""
+    fits = [line(xs, ys)] + ([n_log_n(xs, ys)] if min(xs) > 0.0 else [])
+    return [each.as_dict() for each in sorted(fits, key=lambda fit: fit.residual)]
--- a/emulator/hollow.py
+++ b/emulator/hollow.py
@@ -25,6 +25,7 @@
 LATENCY = 0.004  # seconds that a fed call takes at its backend
 AT_ONCE = 8  # watches that are begun together: a start must not look like silence to the rest
 TOLD_WITHIN = 30.0  # seconds in which a watch that was begun has told its list
+LOOK = 0.1  # seconds between two looks at who is behind: looking costs too
 AGE_MOST = 600_000_000  # microseconds that an age is told apart up to
 Stamps = Mapping[int, tuple[float, frozenset[str]]]  # by version: when it was told, of which backends
 
@@ -169,7 +170,7 @@
         while any(proxy.behind(latest) for proxy in self._proxies):
             if time.monotonic() > end:
                 return False
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(LOOK)
         return True
 
     async def had_wholes(self, each: int, within: float) -> bool:
@@ -178,7 +179,7 @@
         while any(proxy.wholes < each for proxy in self._proxies):
             if time.monotonic() > end:
                 return False
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(LOOK)
         return True
 
     def calls(self, rate: float) -> None:
--- a/emulator/meter.py
+++ b/emulator/meter.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from pathlib import Path
 
 import psutil
 
@@ -26,11 +27,22 @@
 
 
 def of(pid: int) -> Usage:
-    """Another process, its processor time in the kernel's ticks of 10 ms; psutil.Error where it has ended."""
+    """Another process; psutil.Error where it has ended.
+
+    Its processor time is the scheduler's, exact, of the threads it has now; where the kernel does not tell
+    that, it is in ticks of 10 ms.
+    """
     process = psutil.Process(pid)
     with process.oneshot():
+        memory = process.memory_info().rss
+        try:
+            texts = [file.read_text() for file in Path(f"/proc/{pid}/task").glob("*/schedstat")]
+        except OSError:
+            texts = []
+        if texts:
+            return Usage(sum(int(text.split()[0]) for text in texts) / 1e9, memory)
         times = process.cpu_times()
-        return Usage(times.user + times.system, process.memory_info().rss)
+        return Usage(times.user + times.system, memory)
 
 
 def total(pids: Iterable[int]) -> Usage:
--- a/emulator/registry.py
+++ b/emulator/registry.py
@@ -49,7 +49,8 @@
         self.index = index
         self._entries = {entry["name"]: entry for entry in entries}
         self._log: deque[tuple[int, Entry]] = deque()
-        self._oldest = index  # the oldest version from which the log tells all
+        self._oldest = index  # the oldest version from which the log tells all...
+        self._resumable = index  # ...and that a new watch may resume from
         self._encoded: dict[tuple[frozenset[str] | None, int], bytes | None] = {}
 
     def change(self, index: int, entries: list[Entry]) -> None:
@@ -68,15 +69,21 @@
         self._encoded.clear()
 
     def forget(self) -> None:
-        """Drop the log: whoever resumes from an older version gets the whole list."""
+        """Lose the log, as a restart does: whoever resumes from here or before gets the whole list."""
         self._log.clear()
-        self._oldest = self.index
+        self._oldest, self._resumable = self.index, self.index + 1
         self._encoded.clear()
 
     def whole(self, view: frozenset[str] | None) -> bytes:
         """The whole list as one line of JSON, of the names in the view (None: all)."""
         return self._object(True, [e for e in self._entries.values() if view is None or e["name"] in view])
 
+    def resume(self, index: int, view: frozenset[str] | None) -> tuple[bytes, bool]:
+        """What a new watch from that version is told first, and whether that is the whole list."""
+        if index < self._resumable:
+            return self.whole(view), True
+        return self.since(index, view)[:2]
+
     def since(self, index: int, view: frozenset[str] | None) -> tuple[bytes, bool, bool]:
         """What changed after that version as a line; whether it is the whole list; whether it has entries."""
         if not self._oldest <= index <= self.index:
@@ -188,7 +195,7 @@
 
     def _follow(self, since: int) -> None:
         state, counts = self._door.registry.state, self._door.counts
-        line, whole, _ = state.since(since, self._door.view)
+        line, whole = state.resume(since, self._door.view)
         counts.watches += 1
         counts.wholes += whole
         self._write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
@@ -249,6 +256,11 @@
         await door.open()
         return door.port
 
+    async def open_all(self, doors: Iterable[tuple[str, int, list[str] | None]]) -> None:
+        """Open doors, each with its name, port and view."""
+        for name, port, view in doors:
+            await self.open(name, port, view)
+
     def change(self, index: int, entries: list[Entry]) -> float:
         """Take in a change and tell all watches; when that was begun, on the machine's monotonic clock."""
         begun = time.monotonic()
--- a/tests/test_emulator_registry.py
+++ b/tests/test_emulator_registry.py
@@ -85,11 +85,14 @@
             assert (told["index"], told["snapshot"]) == (4, False)
             assert told["endpoints"] == [changed(1), changed(0, "terminated"), changed(2)]
             up.drop(["all"], forget=True)
-            whole = await (await watch(port, 3)).line()
+            last = await watch(port, 4)
+            whole = await last.line()
             assert whole["snapshot"] and len(whole["endpoints"]) == 19
+            up.change(5, [changed(3)])
+            assert await last.line() == {"index": 5, "snapshot": False, "endpoints": [changed(3)]}
             assert up.spent()["wholes"] == 2 and up.spent()["watches"] == 3
             with pytest.raises(ValueError, match="not newer"):
-                up.change(4, [])
+                up.change(5, [])
 
     asyncio.run(play())
 
