emulator: runs are bounded in time and memory, and end what they began

Cause: a run that hangs, or is ended from outside, left nothing to say and could leave processes. Change: five minutes a run (one if quick), half the memory, SIGTERM unwinds, faults of a run are one line. Measured: none.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -5,19 +5,22 @@
 import contextlib
 import importlib
 import json
+import signal
 import sys
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import click
+import psutil
 
 from emulator.budgets import check
 from emulator.result import RESULTS
 from emulator.runs import fleet, hollow, slopes
-from emulator.runs.common import Done, Options, say
+from emulator.runs.common import Done, Options, bounded, say
 
 ADDED = "added"
+LONGEST, LONGEST_QUICK = 300, 60  # seconds that one run may take
 RUNS: dict[str, Callable[[Options], Done]] = {
     "slopes": slopes.run, "hollow": hollow.run, "fleet": fleet.run,
 }
@@ -48,11 +51,17 @@
     return 1 if verdict.broken else 0
 
 
+def _bounded(run: Callable[[Options], Done], given: Options) -> Done:
+    """One run, in the time that it has."""
+    with bounded(LONGEST_QUICK if given.quick else LONGEST):
+        return run(given)
+
+
 def _command(name: str, run: Callable[[Options], Done]) -> click.Command:
     @click.command(name, help=(run.__doc__ or name).partition("\n")[0])
     @options
     def command(seed: int, out: Path, quick: bool) -> None:
-        done = run(Options(seed, out, quick))
+        done = _bounded(run, Options(seed, out, quick))
         say(name, f"result in {done.path}")
         sys.exit(_report(done.figures))
 
@@ -71,7 +80,7 @@
     figures: dict[str, float] = {}
     for name, run in RUNS.items():
         say(name, "begins")
-        figures |= run(given).figures
+        figures |= _bounded(run, given).figures
     if ADDED in cli.commands:
         say(ADDED, "begins")
         figures |= _added(given)
@@ -100,6 +109,8 @@
 
 def main() -> int:
     """Run; bad arguments are one line on standard error and 2."""
+    # So that what was started ends too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     try:
         cli.main(standalone_mode=False)
     except click.exceptions.NoArgsIsHelpError as fault:
@@ -112,7 +123,7 @@
     except click.Abort:
         print("emulator: interrupted", file=sys.stderr)
         return 130
-    except OSError as fault:
+    except (OSError, RuntimeError, psutil.Error) as fault:
         print(f"emulator: {fault}", file=sys.stderr)
         return 1
     return 0
--- a/emulator/runs/common.py
+++ b/emulator/runs/common.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 import sys
 import time
 from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -40,6 +42,22 @@
     path: Path
 
 
+@contextmanager
+def bounded(seconds: int) -> Iterator[None]:
+    """TimeoutError in whatever the block is at after so many seconds; for the main thread alone."""
+
+    def late(*_: object) -> None:
+        raise TimeoutError(f"it takes more than {seconds} s")
+
+    former = signal.signal(signal.SIGALRM, late)
+    signal.alarm(seconds)
+    try:
+        yield
+    finally:
+        signal.alarm(0)
+        signal.signal(signal.SIGALRM, former)
+
+
 def say(run: str, text: str) -> None:
     """One line of progress."""
     print(f"{run}: {text}", file=sys.stderr, flush=True)
--- a/emulator/runs/fleet.py
+++ b/emulator/runs/fleet.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import numpy as np
+import psutil
 from hdrh.histogram import HdrHistogram
 
 from emulator import topology
@@ -31,6 +32,7 @@
 BOTH = 30  # ...from so many proxies on
 SAMPLE = 0.25  # seconds between two readings of processor time
 TAKE_OVER = 0.3  # seconds after which the other two serve a lost machine's addresses
+MEMORY_PART = 0.5  # of the machine's, beyond which a run ends
 REPLACED = 110
 MEANWHILE = 5  # changes while watches are away
 WITHIN = 60.0  # seconds that a change may take to be taken in everywhere before that counts as missing
@@ -266,6 +268,8 @@
         whole = all(call_all(self._hosts, "caught_up", self._latest, WITHIN))
         ended = time.monotonic()
         sampler.end()
+        if sum(sampler.memory) > MEMORY_PART * psutil.virtual_memory().total:
+            raise RuntimeError(f"the processes take {sum(sampler.memory) / MB:.0f} MB")
         spent = ended - begun
         hosts = sampler.series[: len(self._hosts)]
         lists = call_all(self._hosts, "worst_second", begun, ended)
