emulator: hollow beside real also net of what idling costs

Change: the run hollow gives processor time with and without what idling costs, and both differences.

--- a/emulator/runs/hollow.py
+++ b/emulator/runs/hollow.py
@@ -78,11 +78,11 @@
 
     def measure(self, act: Callable[[], int]) -> dict[str, Any]:
         """Processor time and bytes for a proxy and event; `act` returns how many events it made."""
-        before = self._reading()
+        before, begun = self._reading(), time.monotonic()
         events = act()
         time.sleep(SETTLE)
         after = self._reading()
-        found: dict[str, Any] = {"events": events}
+        found: dict[str, Any] = {"events": events, "seconds": time.monotonic() - begun}
         for group in ("real", "hollow"):
             (old, sent), (new, sent_now) = before[group], after[group]
             found[group] = {
@@ -96,6 +96,15 @@
         return found
 
 
+def net_of_idle(event: dict[str, Any], idle: dict[str, Any]) -> None:
+    """Add to an event what it cost beyond as much time with empty lines alone, and the difference in that."""
+    for group in ("real", "hollow"):
+        still = idle[group]["processor"] / idle["seconds"] * event["seconds"] / event["events"]
+        event[group]["processor_net"] = event[group]["processor"] - still
+    event["difference_percent"]["processor_net"] = _difference(
+        event["hollow"]["processor_net"], event["real"]["processor_net"])
+
+
 def _difference(hollow: float, real: float) -> float | None:
     """By how many percent the hollow figure is above the real one; None where there is nothing to compare."""
     return 100.0 * (hollow - real) / real if real else None
@@ -140,10 +149,12 @@
             return 1
 
         events = {"change": pair.measure(changes), "whole_list": pair.measure(whole_lists),
-                  "idle": {"seconds": idle + SETTLE, **pair.measure(empty_lines)}}
+                  "idle": pair.measure(empty_lines)}
         memory = {"real_mb": total(real).memory / PROXIES / MB,
                   "hollow_mb": added["memory"] / PROXIES / MB,
                   "hollow_process_mb": of(hollow.pid).memory / MB}
+    for name in ("change", "whole_list"):
+        net_of_idle(events[name], events["idle"])
     for name, event in events.items():
         apart = {figure: round(value or 0.0, 1) for figure, value in event["difference_percent"].items()}
         say("hollow", f"{name}: hollow beside real, in percent: {apart}")
--- a/tests/test_emulator_parts.py
+++ b/tests/test_emulator_parts.py
@@ -8,6 +8,7 @@
 
 from emulator import fit, topology
 from emulator.meter import Series
+from emulator.runs.hollow import net_of_idle
 from jaspershelf.adapter import read_settings
 
 
@@ -62,3 +63,12 @@
     assert series.mean() == pytest.approx(22.5 / 40.0)
     assert series.growth() == pytest.approx(22.5)
     assert Series().mean() == Series().worst() == 0.0
+
+
+def test_what_idling_costs_is_taken_off_both() -> None:
+    idle = {"seconds": 10.0, "real": {"processor": 1.0}, "hollow": {"processor": 0.0}}
+    event = {"seconds": 5.0, "events": 5, "real": {"processor": 0.3}, "hollow": {"processor": 0.1},
+             "difference_percent": {}}
+    net_of_idle(event, idle)
+    assert event["real"] == {"processor": 0.3, "processor_net": pytest.approx(0.2)}
+    assert event["difference_percent"] == {"processor_net": pytest.approx(-50.0)}
