--- a/emulator/added.py
+++ b/emulator/added.py
@@ -229,11 +229,17 @@
 
 
 def usage(pid: int) -> Usage:
-    """What a process has used so far, as psutil reads it: processor time in steps of 10 ms on Linux."""
-    process = psutil.Process(pid)
-    times = process.cpu_times()
-    preempted = process.num_ctx_switches().involuntary
-    return Usage(times.user + times.system, process.memory_info().rss, preempted)
+    """What a process has used so far, as psutil reads it: processor time in steps of 10 ms on Linux.
+
+    Raises RunError where it is gone.
+    """
+    try:
+        process = psutil.Process(pid)
+        times = process.cpu_times()
+        preempted = process.num_ctx_switches().involuntary
+        return Usage(times.user + times.system, process.memory_info().rss, preempted)
+    except psutil.Error as fault:
+        raise RunError(str(fault)) from fault
 
 
 # ---- one trial --------------------------------------------------------------------------------------
@@ -374,10 +380,11 @@
     resident = max(row["resident_mb"] for row in figures["proxies"])
     failed = sum(count for row in [*figures["proxies"], figures["direct"]]
                  for how, count in row["ended"].items() if how != "200")
-    stalls = figures["disturbed"]
+    disturbed = figures["disturbed"]
+    stalls, longest = disturbed["caller_stalls"], disturbed["caller_stall_us"] / 1000.0
     return (f"{name}: added ms: {ms}; {figures['through']['all']['count']} calls, {failed} not served; "
             f"{sum(cpu) / len(cpu):.2f} ms of processor a call, {resident:.0f} MB at most; "
-            f"the caller's core was taken {stalls['caller_stalls']} times, {stalls['caller_stall_us'] / 1000.0:.1f} ms at most")
+            f"the caller's core was taken {stalls} times, {longest:.1f} ms at most")
 
 
 async def run(batches: Sequence[Sequence[Trial]], cores: Sequence[int], seed: int) -> dict[str, Any]:
--- a/emulator/caller.py
+++ b/emulator/caller.py
@@ -1,7 +1,7 @@
 """An open-loop caller: calls start when they were drawn to start, whatever became of those before.
 
 Run as `python -m emulator.caller`: it reads its `Plan` as one JSON line, prints `ready`, waits for a line,
-calls, and prints its tallies as one JSON line.
+calls, prints its tallies as one JSON line, and ends with its input.
 """
 
 from __future__ import annotations
@@ -283,6 +283,7 @@
     if sys.stdin.readline():
         caller.run(time.perf_counter())
         print(json.dumps({"streams": encode(caller.tallies), "stalls_us": caller.stalls}), flush=True)
+        sys.stdin.readline()  # what it has used can be read until it is let go
 
 
 if __name__ == "__main__":
