emulator: late calls do not hold up answers, and added time has its budget's name

Cause: a caller that is behind sent all late calls before it read an answer, and counted that as its core being taken; the command line compares figures by the names of budgets, and a run that could not be done ended with a trace there. Change: one call, then a look for answers; added_p99, added_p99_all_rows and added_p99_fleet in ms; a fault is one plain line and exit 1.

--- a/emulator/added.py
+++ b/emulator/added.py
@@ -372,6 +372,15 @@
     }
 
 
+def budgeted(figures: dict[str, Any]) -> dict[str, float]:
+    """The figures that have a budget, by its name: milliseconds added to 99 in 100 calls."""
+    names = {"added_p99": solo(AVERAGE, SERVICE, 0.0).name,
+             "added_p99_all_rows": solo(AVERAGE, ALL, 0.0).name,
+             "added_p99_fleet": fleet(0.0).name}
+    return {budget: figures[name]["added_us"]["all"]["p99"] / 1000.0
+            for budget, name in names.items() if name in figures}
+
+
 def summary(name: str, figures: dict[str, Any]) -> str:
     """One line on a trial."""
     added = figures["added_us"]["all"]
@@ -421,9 +430,11 @@
     try:
         figures = asyncio.run(run(batches, rest, seed))
     except (RunError, OSError) as fault:
-        raise click.ClickException(str(fault)) from fault
+        click.echo(f"added: {fault}", err=True)
+        sys.exit(1)
     finally:
         os.sched_setaffinity(0, cores)
-    body = {"cores": len(cores), "wall_s": time.monotonic() - began, "warmup_s": WARMUP, "trials": figures}
+    body = {"cores": len(cores), "wall_s": time.monotonic() - began, "warmup_s": WARMUP, "trials": figures,
+            "figures": budgeted(figures)}
     path = write("added-quick" if quick else "added", seed, body, out)
     click.echo(f"added: {path}")
--- a/emulator/caller.py
+++ b/emulator/caller.py
@@ -150,7 +150,7 @@
             if now - last > STALL:
                 self.stalls.append(microseconds(now - last))
             last = now
-            while call is not None and start + call.at <= now:
+            if call is not None and start + call.at <= now:  # one: answers are read between late calls too
                 self._begin(call)
                 call = next(upcoming, None)
             for descriptor, event in self._poll.poll(0):
--- a/tests/test_emulator_added.py
+++ b/tests/test_emulator_added.py
@@ -91,6 +91,11 @@
     assert values == tuple(sorted(values)) and values[-1] == 1000
 
 
+def test_figures_with_a_budget_are_those_of_the_trials_that_ran() -> None:
+    ran = added.solo(added.AVERAGE, added.SERVICE, 2.0)
+    assert added.budgeted({ran.name: {"added_us": {"all": {"p99": 1100}}}}) == {"added_p99": 1.1}
+
+
 def test_histograms_of_several_proxies_count_as_one() -> None:
     rows = encode([Tally([100]), Tally([]), Tally([300, 500])])
     whole = added.merged([row["histogram"] for row in rows])
