Reload: a log that nobody empties does not stop the proxy

Change: a line of a reload is dropped where standard error can't take it at once.

Result: a test with a full pipe, which waits for its reader without this.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import os
+import select
 import signal
 import socket
 import sys
@@ -50,9 +51,17 @@
         lines = proxy.reload(load(environ))
     except ConfigError as fault:
         lines = [f"refused, version {proxy.front.version} stays: {fault}"]
-    with suppress(OSError):  # Guards the process against a log that nobody reads any more.
-        for line in lines:
-            print(f"lugspur: reload: {line}", file=sys.stderr, flush=True)
+    for line in lines:
+        say(f"lugspur: reload: {line}")
+
+
+def say(line: str) -> None:
+    """Log one line of up to 4 KiB, or drop it: a log that nobody empties must not stop the loop."""
+    with suppress(OSError, ValueError):  # no file, or a closed one
+        log = select.poll()
+        log.register(sys.stderr.fileno(), select.POLLOUT)
+        if log.poll(0):
+            print(line, file=sys.stderr, flush=True)
 
 
 async def drain(front: Front, listener: socket.socket) -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -25,9 +25,9 @@
     return tmp_path / "c.json"
 
 
-def lines(capsys: pytest.CaptureFixture[str]) -> list[str]:
+def lines(capfd: pytest.CaptureFixture[str]) -> list[str]:
     """What was logged since the last look."""
-    return capsys.readouterr().err.splitlines()
+    return capfd.readouterr().err.splitlines()
 
 
 def bad(**settings: Any) -> bytes:
@@ -90,13 +90,13 @@
 
 @pytest.mark.parametrize("data", BAD.values(), ids=BAD)
 def test_no_process_starts_from_a_bad_file(
-    path: Path, data: bytes, capsys: pytest.CaptureFixture[str]
+    path: Path, data: bytes, capfd: pytest.CaptureFixture[str]
 ) -> None:
     path.write_bytes(data)
     with pytest.raises(ConfigError):
         load(os.environ)
     assert main() == 2
-    [line] = lines(capsys)
+    [line] = lines(capfd)
     assert line.startswith(f"lugspur: {path}: " if "is not an address" not in line else "lugspur: ")
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -7,8 +7,9 @@
 import os
 import signal
 import sys
+import threading
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -17,6 +18,7 @@
     HOST,
     NEVER_RAN,
     OK,
+    WIDE,
     WIRE,
     Clock,
     Gate,
@@ -340,19 +342,19 @@
 # ---- the version, and what is refused -----------------------------------------------------------
 
 
-def test_the_version_in_force_is_visible(path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+def test_the_version_in_force_is_visible(path: Path, capfd: pytest.CaptureFixture[str]) -> None:
     async def play() -> None:
         async with site(path, []) as up:
             up.proxy.front.ready = True
             code, [word, first] = await up.health()
             assert code == 200 and word == b"ok" and first.startswith(b"version 1-")
             up.reload(Instances=2)
-            [line] = lines(capsys)
+            [line] = lines(capfd)
             code, [word, second] = await up.health()
             assert code == 200 and second.startswith(b"version 2-") and second[10:] != first[10:]
             assert line == f"lugspur: reload: {second.decode()} is in force"
             up.reload({"version": 41}, Instances=2)
-            assert lines(capsys) == [f"lugspur: reload: version 41-{second[10:].decode()} is in force"]
+            assert lines(capfd) == [f"lugspur: reload: version 41-{second[10:].decode()} is in force"]
             up.reload()
             assert (await up.health())[1][1] == b"version 4-" + first[10:]
             up.proxy.front.ready = False
@@ -361,7 +363,7 @@
     asyncio.run(play())
 
 
-def test_an_unchanged_configuration_changes_nothing(path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+def test_an_unchanged_configuration_changes_nothing(path: Path, capfd: pytest.CaptureFixture[str]) -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one, site(path, [entry("a", one.address)]) as up:
             client = await up.client()
@@ -373,24 +375,24 @@
                 up.reload(top)
             now = [balancer.settings, balancer.pools, balancer.took, balancer.due, proxy._upstream._sweeping]
             assert all(a is b for a, b in zip(kept, now, strict=True))
-            assert lines(capsys) == [f"lugspur: reload: discovery is at {HOST}:10"]
+            assert lines(capfd) == [f"lugspur: reload: discovery is at {HOST}:10"]
             assert (await up.health())[1][1].startswith(b"version 1-")
 
     asyncio.run(play())
 
 
-def test_what_identifies_the_process_stays(path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+def test_what_identifies_the_process_stays(path: Path, capfd: pytest.CaptureFixture[str]) -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one, site(path, [entry("a", one.address)]) as up:
             top = {"name": "n1", "listen": f"{HOST}:1", "seed": "2", "limits": {"sockets": 1, "memory_mb": 1},
                    "known": {"index": 9, "endpoints": []}}
             up.reload(top)
-            said = [line.split()[2] for line in lines(capsys)]
+            said = [line.split()[2] for line in lines(capfd)]
             assert said == ["name", "listen", "seed", "sockets", "memory", "known"]
             assert status(await (await up.client()).ask(read(1))) == 200
             assert up.proxy.front.config.name == "n0" and up.proxy.front.config.sockets == 1024
             up.reload(top, Instances=2)  # the settings beside them are taken
-            assert "in force" in lines(capsys)[-1]
+            assert "in force" in lines(capfd)[-1]
 
     asyncio.run(play())
 
@@ -402,13 +404,13 @@
 
 @pytest.mark.parametrize("data", [*BAD.values(), *RESTART.values(), None], ids=[*BAD, *RESTART, "no file"])
 def test_a_bad_file_keeps_the_last_good_one_and_prints_one_line(
-    path: Path, data: bytes | None, capsys: pytest.CaptureFixture[str]
+    path: Path, data: bytes | None, capfd: pytest.CaptureFixture[str]
 ) -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one, site(path, [entry("a", one.address)]) as up:
             up.reload(Instances=3)
             version = up.proxy.front.version
-            assert len(lines(capsys)) == 1
+            assert len(lines(capfd)) == 1
             before = up.proxy.front.config
             settings = up.proxy._balancer.settings
             if data is None:
@@ -416,13 +418,45 @@
             else:
                 path.write_bytes(data)
             reload(up.proxy)
-            [line] = lines(capsys)
+            [line] = lines(capfd)
             assert line.startswith(f"lugspur: reload: refused, version {version} stays: ")
             assert "Traceback" not in line and len(line) < 600 and line.isprintable()
             assert up.proxy.front.config is before and up.proxy._balancer.settings is settings
             assert status(await (await up.client()).ask(read(1))) == 200
             up.reload()
-            assert "in force" in lines(capsys)[0]
+            assert "in force" in lines(capfd)[0]
+
+    asyncio.run(play())
+
+
+def test_a_log_that_nobody_empties_does_not_stop_the_proxy(
+    path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, site(path, [entry("a", one.address)]) as up:
+            source, sink = os.pipe()
+            os.set_blocking(sink, False)
+            with suppress(BlockingIOError):
+                while True:
+                    os.write(sink, bytes(4096))
+            os.set_blocking(sink, True)
+            with open(sink, "w") as log:
+                monkeypatch.setattr(sys, "stderr", log)
+                up.file.write(Instances=2)
+                done = threading.Event()
+                loop = asyncio.get_running_loop()
+                # Lets the test end where the proxy waits for somebody to read.
+                reader = threading.Thread(target=lambda: done.wait(WIDE) or os.read(source, 1 << 20))
+                reader.start()
+                begun = loop.time()
+                reload(up.proxy)
+                waited = loop.time() - begun
+                done.set()
+                reader.join()
+                monkeypatch.undo()
+            os.close(source)
+            assert waited < WIDE / 2.0
+            assert up.proxy.front.version.startswith("2-")
 
     asyncio.run(play())
 
