Say what the module's design is, in place of a page that does not exist

Cause: the docstring of jaspershelf/decide.py named docs/design.md, which is not in the repository. Change: it now states the design by itself: a chance of refusal for each server, from throttling by errors and from latency, and the better of two random servers. No code changes.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -3,9 +3,10 @@
 Interface (settings, list rows, outcomes, actions): jaspershelf/model.py.
 
 Pure and sans-I/O: every method takes the time, returns the actions to carry out, and reads no clock.
-All randomness comes from the seed. The mechanism is that of go-zero PR #5366 with SRE-book throttling
-(docs/design.md): each server has a breaker that refuses locally with the larger of an error chance and
-a latency chance; of two random ready servers the one with the lower latency x (in-flight + 1) is taken.
+All randomness comes from the seed. The design: each server has a breaker that refuses a call locally with
+the larger of two chances, one from adaptive throttling by its errors (SRE book), one from its latency over
+the baseline (go-zero PR #5366); of two random ready servers the one with the lower latency x (in-flight + 1)
+is taken (power of two choices).
 """
 
 from __future__ import annotations
