Count only whole lines of a watch as a sign of life, and two silent calls within 6 s

Cause: any byte put off the time for silence (_Watch.data_received in lugspur/discovery.py), so a line, a head or an object that trickles held a watch open for good; and two silent calls, 3 s each with the pauses after them, passed the 6 s after which a change counts as told. Ruled out: a connect that times out, a connection closed at once, empty answers, what is no HTTP (forced, held). Change: a whole line or object alone puts it off; silence is 2.5 s, so that two of them, their pauses and a connect that times out take 5.6 s at most.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -16,7 +16,8 @@
 from lugspur.config import Address, ConfigError, read_address
 
 STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
-SILENT = 3.0  # seconds without a line after which a watch is dead: one comes every 2 s, and 6 s are all
+SILENT = 2.5  # seconds without a whole line after which a watch is dead: one comes every 2 s, and within 6 s
+# there has to be time for another watch that says nothing, its two pauses and a connect that times out
 CONNECT = 0.25  # seconds that a connect may take: the agent is on this machine
 AGAIN = 0.02  # seconds before a watch that had spoken is opened anew...
 RETRY = 0.1  # ...and before another try: it costs nothing, and what an agent has on return counts at once
@@ -164,6 +165,15 @@
         self._silence = self._loop.call_later(SILENT, self.close)
         transport.write(self._request)
 
+    def _heard(self) -> None:
+        """A whole line has come.
+
+        Guards against a watch that hangs on a machine that vanished: nothing else would tell. Bytes alone do
+        not count: a line that trickles and never ends would hold back all changes.
+        """
+        self._silence.cancel()
+        self._silence = self._loop.call_later(SILENT, self.close)
+
     def on_body(self, body: bytes) -> None:
         self._body.append(body)
 
@@ -176,9 +186,6 @@
             self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        # Guards against a watch that hangs on a machine that vanished: nothing else would tell.
-        self._silence.cancel()
-        self._silence = self._loop.call_later(SILENT, self.close)
         try:
             self._parser.feed_data(data)
             self._lines()
@@ -205,6 +212,7 @@
         if not text.strip():
             if self._object:
                 raise ValueError("an object breaks off")
+            self._heard()
             self._tell(self, None)
             return
         begins = not self._object
@@ -218,6 +226,7 @@
                 raise  # no further line mends it
             return
         self._object = b""
+        self._heard()
         self._tell(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- /dev/null
+++ b/tests/test_told.py
@@ -0,0 +1,144 @@
+"""Every wait for discovery, on loopback sockets with the clock in hand: no sum of them passes 6 s."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+
+import pytest
+from loopback import HOST, WIRE, Clock, Running, entry, free_port, running
+
+from jaspershelf.adapter import read_settings
+from jaspershelf.model import Settings
+
+COUNTS = 6.0  # seconds after discovery had a change, and could be reached, at which it counts as told
+STEP = 0.05
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+REPLACED = {"index": 9, "snapshot": True, "endpoints": [entry("b", f"{HOST}:2")]}
+TEXT = json.dumps(REPLACED).encode()
+CLOSE = b"close"
+DRIP = 0.5  # seconds between two bytes of what trickles
+
+
+def chunk(text: bytes) -> bytes:
+    """One chunk of a watch's answer."""
+    return b"%x\r\n%b\r\n" % (len(text), text)
+
+
+GOOD = HEAD + chunk(TEXT + b"\n")
+#: What a call may meet: what it answers at once, and what it repeats every half second from then on.
+FAULTS: dict[str, tuple[bytes, bytes]] = {
+    "silent": (b"", b""),
+    "a head alone": (HEAD, b""),
+    "half a head": (HEAD[:20], b""),
+    "a head that trickles": (HEAD[:-2], b"X-A: b\r\n"),
+    "a line that trickles": (HEAD + chunk(b"{"), chunk(b" ")),
+    "an object that trickles": (HEAD + chunk(b"{\n"), chunk(b' "index": 9,\n')),
+    "another status": (b"HTTP/1.1 503 Down\r\nContent-Length: 9\r\n\r\n", b""),
+    "another status, chunked": (HEAD.replace(b"200 OK", b"500 Down"), chunk(b" ")),
+    "a closed connection": (CLOSE, b""),
+    "an empty answer": (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", b""),
+    "no HTTP": (b"nonsense\r\n\r\n", b" "),
+}
+
+
+class Agent:
+    """An agent each of whose calls meets the next of the given faults, and then what is right."""
+
+    def __init__(self, faults: list[tuple[bytes, bytes]], good: bytes = GOOD) -> None:
+        self.faults, self.good = faults, good
+        self.calls = 0
+        self.dripping: list[tuple[asyncio.StreamWriter, bytes]] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One call."""
+        await reader.readuntil(b"\r\n\r\n")
+        once, again = self.faults[self.calls] if self.calls < len(self.faults) else (self.good, b"")
+        self.calls += 1
+        if once == CLOSE:
+            writer.close()
+            return
+        writer.write(once)
+        if again:
+            self.dripping.append((writer, again))
+
+    def drip(self) -> None:
+        """Half a second has passed."""
+        for writer, again in self.dripping:
+            if not writer.is_closing():
+                writer.write(again)
+
+
+async def waited(clock: Clock, agent: Agent, told: Callable[[], bool]) -> float:
+    """How long it takes until a change is told."""
+    begun = dripped = clock.now
+    while not told() and clock.now < begun + 3.0 * COUNTS:
+        await clock.move(STEP)
+        if clock.now >= dripped + DRIP:
+            dripped = clock.now
+            agent.drip()
+            await clock.settle()
+    return clock.now - begun
+
+
+def settings(mode: str, ask_within: float) -> Settings:
+    """The usual settings, with lists pushed or asked for."""
+    return read_settings(
+        WIRE | {"RegistryMode": mode, "Rules": WIRE["Rules"] | {"AskEvery": ask_within}}
+    )
+
+
+def places(up: Running) -> list[int]:
+    """The ports of the backends that a proxy knows."""
+    return [known.address[1] for known in up.proxy._backends.values()]
+
+
+@pytest.mark.parametrize("times", [1, 2])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_failed_calls_from_the_start_do_not_hold_up_a_change(fault: str, times: int) -> None:
+    async def play() -> None:
+        agent = Agent([FAULTS[fault]] * times)
+        server = await asyncio.start_server(agent.serve, HOST, 0)
+        clock = Clock()
+        port = server.sockets[0].getsockname()[1]
+        async with running([entry("a", f"{HOST}:1")], discovery=port) as up:
+            took = await waited(clock, agent, lambda: places(up) == [2])
+            assert took < COUNTS, f"told after {took:.2f} s and {agent.calls} calls"
+        server.close()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("ends", ["silent", "a line that trickles", "an object that trickles"])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_watch_that_falls_silent_and_a_failed_call_do_not_hold_up_a_change(fault: str, ends: str) -> None:
+    async def play() -> None:
+        spoke = HEAD + chunk(json.dumps(REPLACED | {"index": 8, "endpoints": []}).encode() + b"\n")
+        once, again = FAULTS[ends]
+        agent = Agent([(spoke + once.removeprefix(HEAD), again), FAULTS[fault]])
+        server = await asyncio.start_server(agent.serve, HOST, 0)
+        clock = Clock()
+        port = server.sockets[0].getsockname()[1]
+        async with running([entry("a", f"{HOST}:1")], discovery=port) as up:
+            await clock.until(lambda: not up.proxy._backends)  # it has spoken, and says no more
+            took = await waited(clock, agent, lambda: bool(up.proxy._backends))
+            assert took < COUNTS, f"told after {took:.2f} s and {agent.calls} calls"
+        server.close()
+
+    asyncio.run(play())
+
+
+def test_an_agent_that_is_back_is_heard_where_lists_are_asked_for() -> None:
+    async def play() -> None:
+        agent, port = Agent([]), free_port()
+        clock = Clock()
+        async with running([], discovery=port, settings=settings("on_request", 60.0)) as up:
+            for _ in range(60):
+                await clock.move(0.5)  # nobody is there
+            server = await asyncio.start_server(agent.serve, HOST, port)
+            took = await waited(clock, agent, lambda: bool(up.proxy._backends))
+            assert took < 0.25
+            server.close()
+
+    asyncio.run(play())
