Read a list whose answer ends without a line end

Cause: a line of a watch was read only when its line end had come (_Watch._lines in lugspur/discovery.py); an answer that ends right behind the object was dropped and called for again ten times a second. Ruled out: 1xx answers ahead, a Content-Length or a close with the line end there (forced, held). Change: the end of the answer ends its last line. Measured: 3 of the 7 forms in tests/test_told.py fail on the program before; now none.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -178,6 +178,9 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
+        # Guards a list whose answer ends with it: the end stands for the line end that is missing.
+        if self._body or self._buffer:
+            self._body.append(b"\n")
         self.close()
 
     def close(self) -> None:
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -142,3 +142,28 @@
             server.close()
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    "good",
+    [
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" + GOOD,
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" + GOOD,
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b\n" % (len(TEXT) + 1, TEXT),
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(TEXT), TEXT),
+        HEAD + chunk(TEXT[:9]) + chunk(TEXT[9:]) + b"0\r\n\r\n",
+        HEAD + chunk(TEXT) + b"0\r\nX-A: b\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n" + TEXT + b"\n",
+    ],
+)
+def test_an_answer_in_any_form_of_http_is_a_list(good: bytes) -> None:
+    async def play() -> None:
+        agent = Agent([], good)
+        server = await asyncio.start_server(agent.serve, HOST, 0)
+        clock = Clock()
+        port = server.sockets[0].getsockname()[1]
+        async with running([], discovery=port) as up:
+            assert await waited(clock, agent, lambda: bool(up.proxy._backends)) < COUNTS
+        server.close()
+
+    asyncio.run(play())
