End a call to discovery that its head refuses, body or not

Cause: the status was looked at with the body's first bytes (_Watch._lines in lugspur/discovery.py), so a 503 whose body never comes took the whole time for silence, each time. Ruled out: other statuses with a body, a closed connection, an empty answer, what is no HTTP (forced ten times in a row, held).

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -177,6 +177,10 @@
     def on_body(self, body: bytes) -> None:
         self._body.append(body)
 
+    def on_headers_complete(self) -> None:
+        if self._parser.get_status_code() > 200:  # no watch; below, the answer is still to come
+            self.close()
+
     def on_message_complete(self) -> None:
         # Guards a list whose answer ends with it: the end stands for the line end that is missing.
         if self._body or self._buffer:
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -110,6 +110,24 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(
+    "fault",
+    ["another status", "another status, chunked", "a closed connection", "an empty answer", "no HTTP"],
+)
+def test_calls_that_fail_at_once_do_not_add_up(fault: str) -> None:
+    async def play() -> None:
+        agent = Agent([FAULTS[fault]] * 10)
+        server = await asyncio.start_server(agent.serve, HOST, 0)
+        clock = Clock()
+        port = server.sockets[0].getsockname()[1]
+        async with running([entry("a", f"{HOST}:1")], discovery=port) as up:
+            took = await waited(clock, agent, lambda: places(up) == [2])
+            assert took < COUNTS, f"told after {took:.2f} s and {agent.calls} calls"
+        server.close()
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("ends", ["silent", "a line that trickles", "an object that trickles"])
 @pytest.mark.parametrize("fault", FAULTS)
 def test_a_watch_that_falls_silent_and_a_failed_call_do_not_hold_up_a_change(fault: str, ends: str) -> None:
