Call discovery twice within the 6 s after which a change counts

Cause: where lists are asked for, the first call came after up to 0.4 of the settings' time (Balancer.start) and another one after a failure up to 1.5 times that time later (Balancer.members in jaspershelf/decide.py): 4 s and 15 s by default. Ruled out: the proxy's watch once it is open (forced, held). Change: 2 s and 3 s at most, jittered and doubling as before.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -99,6 +99,8 @@
 #: Outcomes that speak of too much work for the servers there are.
 STRAIN = frozenset({Outcome.FULL, Outcome.TIMEOUT, Outcome.UNREACHABLE})
 
+ASK_MOST = 2.0  # seconds, half as much again jittered, to a call to discovery: a change counts after 6 s
+
 SUBSCRIBE = 1  # timer token; those above it are of second copies
 
 
@@ -425,7 +427,7 @@
         if self.settings.discovery is not Discovery.ON_REQUEST:
             return []
         # All instances start together: spread the first calls over what the rules allow unasked.
-        return self._ask_in(now, 0.4 * self.settings.rules.ask_within * self.rng.random())
+        return self._ask_in(now, min(0.4 * self.settings.rules.ask_within, ASK_MOST) * self.rng.random())
 
     def _ask_in(self, now: float, delay: float) -> list[Action]:
         if self.asking:
@@ -438,7 +440,7 @@
         if kind is ListKind.BROKEN:
             # Jittered and doubling: every instance lost the same service at the same time.
             delay = self.backoff * (0.5 + self.rng.random())
-            self.backoff = min(2.0 * self.backoff, max(1.0, self.settings.rules.ask_within))
+            self.backoff = min(2.0 * self.backoff, max(1.0, self.settings.rules.ask_within), ASK_MOST)
             return self._ask_in(now, delay)
         if kind is not ListKind.STALE:
             self.backoff = 1.0
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -10,7 +10,8 @@
 from loopback import HOST, WIRE, Clock, Running, entry, free_port, running
 
 from jaspershelf.adapter import read_settings
-from jaspershelf.model import Settings
+from jaspershelf.decide import Balancer
+from jaspershelf.model import Action, Discovery, ListKind, Rules, Settings, Subscribe, Timer
 
 COUNTS = 6.0  # seconds after discovery had a change, and could be reached, at which it counts as told
 STEP = 0.05
@@ -147,6 +148,23 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("ask_within", [2.0, 10.0, 60.0])
+def test_where_lists_are_asked_for_a_failed_call_does_not_hold_up_a_change(ask_within: float) -> None:
+    async def play() -> None:
+        for seed in range(12):
+            agent = Agent([FAULTS["silent"]])
+            server = await asyncio.start_server(agent.serve, HOST, 0)
+            clock = Clock()
+            port = server.sockets[0].getsockname()[1]
+            asks = settings("on_request", ask_within)
+            async with running([], discovery=port, settings=asks, seed=seed) as up:
+                took = await waited(clock, agent, lambda up=up: bool(up.proxy._backends))  # type: ignore[misc]
+                assert took < COUNTS, f"told after {took:.2f} s and {agent.calls} calls with seed {seed}"
+            server.close()
+
+    asyncio.run(play())
+
+
 def test_an_agent_that_is_back_is_heard_where_lists_are_asked_for() -> None:
     async def play() -> None:
         agent, port = Agent([]), free_port()
@@ -162,6 +180,24 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("ask_within", [0.5, 2.0, 10.0, 60.0])
+def test_the_module_asks_twice_in_any_span_in_which_a_change_comes_to_count(ask_within: float) -> None:
+    for seed in range(50):
+        rules = Rules(ask_within=ask_within)
+        balancer = Balancer(Settings(discovery=Discovery.ON_REQUEST, rules=rules), seed)
+        now = _asks(balancer, 100.0, balancer.start(100.0))
+        for _ in range(12):
+            now = _asks(balancer, now, balancer.members(now, ListKind.BROKEN, []))
+
+
+def _asks(balancer: Balancer, now: float, actions: list[Action]) -> float:
+    """When the module calls discovery again, which is soon enough for another call."""
+    [timer] = actions
+    assert isinstance(timer, Timer) and timer.at - now <= COUNTS / 2.0
+    assert balancer.timer(timer.at, timer.token) == [Subscribe()]
+    return timer.at
+
+
 @pytest.mark.parametrize(
     "good",
     [
