Begin no attempt for a client whose close is not read yet

Cause: a client counted as gone once the loop had read its close; while the loop was busy with a list of 910 rows, or where a retry, a copy or an answer fell due in the turn in which the close is read, the attempt was written on a kept connection first (Proxy._send, Upstream._transmit). Ruled out: closes during a dial, a rest or a wait (held); what stands unread behind the request (six kinds, no difference). Change: before each attempt and before its first byte the client's socket is asked whether its other side has closed. A half-close looks the same and counts as gone: noted as a question. Measured: tests/test_leaving.py, all 72 cases of a long list, all 24 of a retry, 6 of 6 of a copy and 2 of 3 of the next request fail before; now none. One poll more for each attempt.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -51,6 +51,10 @@
         self.last = Outcome.VOID  # how its latest attempt ended
         self.timer: asyncio.TimerHandle | None = None
 
+    def wanted(self) -> bool:
+        """Whether somebody is still there to be answered."""
+        return self.caller is not None and not self.caller.left()
+
     def bytes_for(self, left: float) -> bytes:
         """The request as it goes to a backend that is waited for so many seconds."""
         request = self.request
@@ -257,9 +261,12 @@
 
         repeatable = self._repeatable[call.facts.kind]
         backend = self._backends[action.server]
-        exchange = upstream.Exchange(backend, now, until, call.bytes_for, report, repeatable)
+        exchange = upstream.Exchange(backend, now, until, call.bytes_for, report, repeatable, call.wanted)
         call.exchanges.append(exchange)
-        self._upstream.start(exchange)
+        if exchange.wanted():
+            self._upstream.start(exchange)
+        else:
+            self._gone(call)
 
     def _outcome(
         self, call: Call, number: int, exchange: upstream.Exchange, outcome: Outcome,
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import re
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -30,6 +31,7 @@
 PIPELINE_MOST = 8  # requests that may wait behind another: callers send one at a time
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTS = 8  # taken in one go: with no descriptor left the loop complains once for each, every second
+LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what the system says of a caller's close
 TIME = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 ID = re.compile(rb"[0-9A-Za-z._-]{1,64}")
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}  # backends may send others
@@ -220,6 +222,18 @@
         self._front.callers.discard(self)
         self._transport.abort()
 
+    def left(self) -> bool:
+        """Whether it has closed its connection, read or not.
+
+        Guards backends against attempts for nobody: while the loop was busy, or behind bytes that are still
+        unread, a close waits in the socket. One that ends its sending alone looks the same, and has left too.
+        """
+        if self._transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return any(events & LEFT for _, events in poll.poll(0))
+
     def pause_writing(self) -> None:
         self._stuck = True
 
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -111,18 +111,20 @@
 class Exchange:
     """One attempt on the wire: from its start to its one outcome."""
 
-    __slots__ = ("backend", "connection", "dial", "open", "repeatable", "started", "timer", "until", "write",
-                 "_report")
+    __slots__ = ("backend", "connection", "dial", "open", "repeatable", "started", "timer", "until", "wanted",
+                 "write", "_report")
 
     def __init__(
         self, backend: Backend, started: float, until: float, write: Callable[[float], bytes],
         report: Callable[[Exchange, Outcome, Response | None], None], repeatable: bool = True,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         self.repeatable = repeatable  # whether it may be sent again when its connection breaks
         self.backend = backend
         self.started = started
         self.until = until  # the loop's time until which it is waited for
         self.write = write  # the request's bytes, given the seconds that are left
+        self.wanted = wanted  # whether its caller is still there
         self.open = True
         self.connection: Connection | None = None
         self.dial: asyncio.Task[None] | None = None
@@ -464,7 +466,8 @@
         # Guards drains, time-outs and finished requests: dialling took time, and the world has moved on.
         left = exchange.until - self._loop.time()
         backend = exchange.backend
-        if not exchange.open or left <= 0.0 or not backend.in_service or connection.life != backend.life:
+        stale = left <= 0.0 or not backend.in_service or connection.life != backend.life
+        if not exchange.open or stale or not exchange.wanted():
             self.release(connection)
             self._loop.call_soon(exchange.end, Outcome.VOID)
             return
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,11 +11,15 @@
 from loopback import (
     CLOSE,
     HOST,
+    MAY_HAVE_RUN,
+    NEVER_RAN,
     OK,
     WIRE,
+    Backend,
     Client,
     Clock,
     Gate,
+    Running,
     backend,
     book,
     entry,
@@ -177,3 +181,176 @@
             assert one.got.empty()
 
     asyncio.run(play())
+
+
+KEPT = 0.02  # seconds after which a connection that has answered is used again at once
+LEAVES = ["close", "half close", "reset"]
+
+
+class Raw:
+    """A caller whose bytes and whose leaving reach the proxy's socket before the proxy's loop runs again."""
+
+    def __init__(self, up: Running) -> None:
+        self.sock = socket.create_connection((HOST, up.port))
+
+    def go(self, how: str) -> None:
+        """Leave: with all closed, with the sending end alone, or with a reset."""
+        if how == "half close":
+            self.sock.shutdown(socket.SHUT_WR)
+            return
+        if how == "reset":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+
+def many(*addresses: str) -> list[dict[str, Any]]:
+    """A list of 910 rows, which takes a while to take in; these alone are in service."""
+    rest = [entry(f"r{number}", f"{HOST}:9", "terminating") for number in range(910 - len(addresses))]
+    return rest + [entry(f"n{number}", address) for number, address in enumerate(addresses)]
+
+
+async def accepted(clock: Clock, up: Running, callers: int) -> None:
+    """Wait until so many connections are the proxy's."""
+    await clock.until(lambda: len(up.proxy.front.callers) == callers)
+
+
+async def kept(clock: Clock, up: Running, client: Client, stubs: list[Backend]) -> None:
+    """Let requests go until the proxy keeps a connection to each of the backends that has rested."""
+    number = 500
+    while not all(any(c.backend.address[1] == int(stub.address.rpartition(":")[2])
+                      for c in up.proxy._upstream._idle) for stub in stubs):
+        number += 1
+        client.writer.write(read(number))
+        answer = asyncio.ensure_future(client.answer())
+        await clock.until(answer.done)
+        await clock.move(KEPT)
+    for stub in stubs:
+        while not stub.got.empty():
+            stub.got.get_nowait()
+
+
+async def nothing_more(clock: Clock, up: Running, stubs: list[Backend]) -> None:
+    """Nothing is sent on, and nothing is kept of the request."""
+    await clock.until(lambda: not up.proxy._calls and not up.proxy._balancer.requests)
+    for _ in range(20):
+        await clock.move(0.1)
+    assert all(stub.got.empty() for stub in stubs)
+
+
+@pytest.mark.parametrize("tier", TIERS)
+@pytest.mark.parametrize("cancels", CANCELS)
+@pytest.mark.parametrize("how", LEAVES)
+@pytest.mark.parametrize("behind", [b"", b"\r\n", read(2), read(2)[:20], book(2)[:-2], b"x" * 60_000])
+def test_a_caller_that_left_while_a_long_list_was_taken_in_gets_no_attempt(
+    tier: str, cancels: str, how: str, behind: bytes
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            clock = Clock()
+            listed = many(one.address)
+            async with running(listed, settings=settings(tier, cancels)) as up:
+                client = Client(*await asyncio.open_connection(HOST, up.port))
+                raw = Raw(up)
+                await accepted(clock, up, 2)
+                await kept(clock, up, client, [one])
+                raw.sock.sendall(book(1) + behind)
+                raw.go(how)
+                up.tell(listed)  # the loop is busy with it, and has read nothing yet
+                await clock.settle()
+                await nothing_more(clock, up, [one])
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("tier", TIERS)
+@pytest.mark.parametrize("cancels", CANCELS)
+@pytest.mark.parametrize("how", LEAVES)
+@pytest.mark.parametrize("ends", [NEVER_RAN, MAY_HAVE_RUN])
+def test_a_caller_that_left_as_its_attempt_failed_gets_no_other(
+    tier: str, cancels: str, how: str, ends: bytes
+) -> None:
+    async def play() -> None:
+        def script(request: bytes) -> bytes | None:
+            return None if b"id1\r" in request else OK
+
+        async with backend(script) as one, backend(script) as two:
+            clock = Clock()
+            listed = many(one.address, two.address)
+            async with running(listed, settings=settings(tier, cancels)) as up:
+                client = Client(*await asyncio.open_connection(HOST, up.port))
+                raw = Raw(up)
+                await accepted(clock, up, 2)
+                await kept(clock, up, client, [one, two])
+                raw.sock.sendall(read(1))
+                await clock.until(lambda: one.got.qsize() + two.got.qsize() == 1)
+                first = one if one.got.qsize() else two
+                first.got.get_nowait()
+                for writer in first.open:
+                    writer.write(ends)
+                raw.go(how)  # the answer comes first
+                up.tell(listed)
+                await clock.settle()
+                await nothing_more(clock, up, [one, two])
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("cancels", CANCELS)
+@pytest.mark.parametrize("how", LEAVES)
+def test_a_caller_that_left_as_a_copy_fell_due_gets_none(cancels: str, how: str) -> None:
+    async def play() -> None:
+        def script(request: bytes) -> bytes | None:
+            return None if b"id1\r" in request else OK
+
+        async with backend(script) as one, backend(script) as two:
+            clock = Clock()
+            listed = [entry("a", one.address), entry("b", two.address)]
+            async with running(listed, settings=settings("later", cancels, SecondCopies=True)) as up:
+                client = Client(*await asyncio.open_connection(HOST, up.port))
+                raw = Raw(up)
+                await accepted(clock, up, 2)
+                for sent in (1, 2):  # a latency, by which a copy is due
+                    client.writer.write(read(700 + sent))
+                    await clock.until(lambda sent=sent: one.got.qsize() + two.got.qsize() == sent)  # type: ignore[misc]
+                    await clock.move(0.05)
+                    assert status(await client.answer()) == 200
+                await kept(clock, up, client, [one, two])
+                raw.sock.sendall(read(1))
+                await clock.until(lambda: one.got.qsize() + two.got.qsize() == 1)
+                assert up.proxy._balancer.copies
+                (one if one.got.qsize() else two).got.get_nowait()
+                raw.go(how)
+                clock.now += 10.0  # the copy is due in the loop's turn in which the close is read
+                await clock.settle()
+                await clock.move(0.1)
+                assert one.got.empty() and two.got.empty()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("how", LEAVES)
+def test_a_caller_that_left_as_its_first_answer_came_gets_no_attempt_for_the_next_request(how: str) -> None:
+    async def play() -> None:
+        def script(request: bytes) -> bytes | None:
+            return None if b"id1\r" in request else OK
+
+        async with backend(script) as one, backend(script) as two:
+            clock = Clock()
+            listed = many(one.address, two.address)
+            async with running(listed) as up:
+                client = Client(*await asyncio.open_connection(HOST, up.port))
+                raw = Raw(up)
+                await accepted(clock, up, 2)
+                await kept(clock, up, client, [one, two])
+                raw.sock.sendall(read(1) + read(2))
+                await clock.until(lambda: one.got.qsize() + two.got.qsize() == 1)
+                first = one if one.got.qsize() else two
+                first.got.get_nowait()
+                for writer in first.open:
+                    writer.write(OK)
+                raw.go(how)
+                up.tell(listed)
+                await clock.settle()
+                await nothing_more(clock, up, [one, two])
+
+    asyncio.run(play())
