Notice a client that ends its sending while answers to it are unread

Cause: with unsent answers the transport waits to close after the end of a client's sending, and only its connection_lost told that the client has gone (lugspur/server.py). Ruled out: closes and resets there, which the system tells at once. Change: Caller.eof_received tells it. Measured: the test in tests/test_leaving.py fails before (2 of 2 runs, 20 s without notice), now passes.

--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -194,12 +194,21 @@
         self._move(front.fresh, front.last_accept + FIRST_WITHIN)
         front.full(self)  # Guards the limit on descriptors: one that can go makes room.
 
+    def eof_received(self) -> None:
+        # Guards against attempts for nobody: where an answer before is still unread, the connection ends only
+        # when that is out.
+        self._queue.clear()
+        self._leave()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._move(None)
         self._front.callers.discard(self)
         self._queue.clear()
         self._hold(0)
         self._intake.close()
+        self._leave()
+
+    def _leave(self) -> None:
         gone, self.gone = self.gone, None
         if gone is not None:
             gone()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -14,6 +14,7 @@
     MAY_HAVE_RUN,
     NEVER_RAN,
     OK,
+    WIDE,
     WIRE,
     Backend,
     Client,
@@ -354,3 +355,37 @@
                 await nothing_more(clock, up, [one, two])
 
     asyncio.run(play())
+
+
+def test_a_caller_that_ends_its_sending_with_answers_unread_is_noticed(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        part = b"HTTP/1.1 200 OK\r\nContent-Length: 16384\r\n\r\n" + b"x" * 16384
+        async with backend(lambda _: part) as one, running(
+            [entry("a", one.address)], dial_timeout=3 * WIDE  # the dial itself must not end it
+        ) as up:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, (HOST, up.port))
+            await until(lambda: bool(up.proxy.front.callers))
+            [caller] = up.proxy.front.callers
+            number = 0
+            while caller._transport.get_write_buffer_size() < 24 << 10:  # more than the system still takes
+                sock.send(read(number := number + 1))
+                await until(lambda sent=number: one.got.qsize() == sent and not up.proxy._calls)  # type: ignore[misc]
+            assert not caller._stuck
+            for connection in tuple(up.proxy._upstream._idle):
+                up.proxy._upstream._drop(connection)
+            gate = Gate(monkeypatch)
+            sock.send(book(9000))
+            await until(lambda: gate.waiting == 1)
+            sock.shutdown(socket.SHUT_WR)
+            await until(lambda: not up.proxy._calls and not up.proxy._balancer.requests)
+            gate.open.set()
+            await until(lambda: up.proxy._upstream._dialling == 0)
+            assert one.got.qsize() == number
+            sock.close()
+
+    asyncio.run(play())
