Bound the clients that hold half a request, and serve whole ones first

Cause: Front.full in lugspur/server.py let none go whose request is being read, and Caller.connection_made kept each new one whatever it said: 400 were held at 100 descriptors, and a whole request got 503. Ruled out: silent and resting clients (held already, with the watch on discovery's return, at a process's own limit and without spinning). Change: eight beyond the limit at most; then, or for a whole request, the longest reading one goes, after all others.

--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -23,6 +23,7 @@
 WHOLE_WITHIN = 2.0  # seconds from its first byte in which a later one must be
 IDLE_MOST = 10.0  # seconds that a caller may keep its connection and ask nothing...
 IDLE_LEAST = 2.0  # ...and when connections run short, or where it never sent a request: by the protocol
+READING_MORE = 8  # beyond the limit on callers, while parts of their requests have come: most are soon whole
 CROWDED = 0.5  # part of the limit on callers from which connections count as short
 LINGER = 2.0  # seconds that a closing connection may take; meanwhile what comes is read and dropped:
 DROP_MOST = 64 << 20  # bytes; closing with bytes unread would reset the connection, and the answer with it
@@ -114,14 +115,17 @@
         for caller in (*self.fresh, *self.idle):
             caller.close()
 
-    def full(self, newcomer: Caller) -> bool:
-        """Whether there are too many callers, and none but this one that could go."""
-        if len(self.callers) <= self.most:
+    def full(self, newcomer: Caller, whole: bool = False) -> bool:
+        """Whether there are too many callers, and none but this one, whose request may be whole, could go."""
+        over = len(self.callers) - self.most
+        if over <= 0:
             return False
-        # Guards good callers: those that are of no use go first, one whose request is being read never.
+        # Guards good callers: those that are of no use go first, one whose request is being read last.
         settled = self._loop.time() + FIRST_WITHIN - SETTLE
         silent = [caller for caller, limit in itertools.islice(self.fresh.items(), 1) if limit < settled]
-        for place in (self.leaving, silent, self.idle, self.fresh):
+        # Guards whole requests, and the descriptors, against many that never become whole.
+        reading = self.reading if whole or over > READING_MORE else ()
+        for place in (self.leaving, silent, self.idle, self.fresh, reading):
             for caller in place:
                 if caller is not newcomer:
                     caller.drop()
@@ -312,7 +316,7 @@
             healthy = self._front.healthy()
             self.answer(200 if healthy else 503, b"", b"ok\n" if healthy else b"not ready\n")
         elif path == b"/api" or path.startswith(b"/api/"):  # a request without a key has no last part
-            if self._front.full(self):
+            if self._front.full(self, whole=True):
                 raise Rejected(503, "too many connections")
             self._used = True
             self._front.handle(request, self)
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,144 @@
+"""Clients that fill the descriptors while discovery is down, on loopback sockets and at a process's limit."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from pathlib import Path
+
+import pytest
+from loopback import (
+    HOST,
+    OK,
+    WIDE,
+    WIRE,
+    Client,
+    Clock,
+    Running,
+    Watches,
+    backend,
+    book,
+    entry,
+    free_port,
+    running,
+    soon,
+    status,
+)
+
+ROOT = Path(__file__).parent.parent
+SOCKETS = 100  # descriptors that the settings give
+OWN = 12  # descriptors of the process itself: standard streams, the loop's, the listener, two watches
+HEALTH = b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"
+#: What clients that fill the descriptors send: nothing, a part of a request, or one that is answered.
+KINDS = {"silent": b"", "half": book(2)[:-1], "head": b"POST /api/k HTTP/1.1\r\nX-", "answered": HEALTH}
+
+
+async def fill(clock: Clock, up: Running, sent: bytes) -> tuple[list[socket.socket], int]:
+    """Open far more connections than there is room for; also gives the most that the proxy held at once."""
+    front, socks, most = up.proxy.front, [], 0
+    for _ in range(4 * SOCKETS):
+        accepted, before = front.last_accept, front.callers.copy()
+        sock = socket.create_connection((HOST, up.port))
+        socks.append(sock)
+        await clock.until(lambda before=before: bool(front.callers - before))  # type: ignore[misc]
+        assert front.last_accept >= accepted
+        sock.setblocking(False)
+        try:
+            sock.send(sent)
+        except OSError:  # shut already
+            continue
+        await clock.settle()
+        most = max(most, len(front.callers))
+    return socks, most
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_idle_clients_leave_room_for_the_watch_and_for_requests(kind: str) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            port, registry = free_port(), Watches()
+            clock = Clock()
+            async with running([entry("a", one.address)], discovery=port, sockets=SOCKETS) as up:
+                socks, most = await fill(clock, up, KINDS[kind])
+                # As many attempts may be out, and all together have to fit.
+                assert most + up.proxy._upstream._most + OWN <= SOCKETS
+                good = Client(*await asyncio.open_connection(HOST, up.port))
+                good.writer.write(book(1))
+                answer = asyncio.ensure_future(good.answer())
+                await clock.until(answer.done)
+                assert status(answer.result()) == 200
+                server = await asyncio.start_server(registry.serve, HOST, port)
+                await clock.move(0.5)
+                await clock.until(lambda: registry.asked.qsize() == 1)
+                server.close()
+                for sock in socks:
+                    sock.close()
+
+    asyncio.run(play())
+
+
+def spent(pid: int) -> float:
+    """Seconds of processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_at_the_limit_of_the_process_nothing_spins_and_the_watch_comes_up(tmp_path: Path, kind: str) -> None:
+    async def play() -> None:
+        registry, port, discovery = Watches(), free_port(), free_port()
+        async with backend(lambda _: OK) as one:
+            path, log = tmp_path / "c.json", tmp_path / "log"
+            path.write_text(json.dumps({
+                "name": "n0", "listen": f"{HOST}:{port}", "discovery": f"{HOST}:{discovery}", "seed": "1",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
+                "known": {"index": 3, "snapshot": True, "endpoints": [entry("a", one.address)]},
+                "settings": WIRE,
+            }))
+            env = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+            with log.open("wb") as file:
+                process = await asyncio.create_subprocess_shell(
+                    f"ulimit -n {SOCKETS}; exec {sys.executable} -m lugspur", cwd=ROOT, stderr=file,
+                    env=env | {"RELAY_CONFIG": str(path)},
+                )
+            try:
+                await ready(port)
+                socks = []
+                for _ in range(3 * SOCKETS):
+                    socks.append(socket.create_connection((HOST, port), timeout=WIDE))
+                    try:
+                        socks[-1].send(KINDS[kind])
+                    except OSError:  # shut already
+                        continue
+                used = spent(process.pid)
+                await asyncio.sleep(1.0)
+                assert spent(process.pid) - used < 0.5, "it spins"
+                server = await asyncio.start_server(registry.serve, HOST, discovery)
+                assert await soon(registry.asked.get()) == "/v1/servers?follow=1&since=3"
+                good = Client(*await asyncio.open_connection(HOST, port))
+                assert status(await good.ask(book(1))) == 200
+                assert b"out of system resource" not in log.read_bytes()
+                server.close()
+                for sock in socks:
+                    sock.close()
+            finally:
+                process.kill()
+                await process.wait()
+
+    asyncio.run(play())
+
+
+async def ready(port: int) -> None:
+    """Wait until a process answers that it is ready."""
+    async with asyncio.timeout(WIDE):
+        while True:
+            try:
+                client = Client(*await asyncio.open_connection(HOST, port))
+                if status(await client.ask(HEALTH)) == 200:
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.02)
