Be ready within 6 s also with no list known and no discovery

Cause: with an empty list known, only a word of discovery made a proxy ready (Proxy.__init__ in lugspur/proxy.py). Change: 6 s after its start it is ready whatever it knows, and refuses until it has a list. Measured: tests/test_ready.py, 6 of 18 cases fail before (0 of 20 processes ready after 10 s); now none.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -33,6 +33,7 @@
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
 RETRIABLE = (408, 429)  # 4xx that are not the request's fault
 COMPLAIN_EVERY = 1.0  # seconds between two tracebacks in the log
+EMPTY_AFTER = 6.0  # seconds after which one that knows no server is ready too: what is told counts by then
 KNOWN_AFTER = 0.3  # seconds without a word from discovery after which the list known at the start serves
 
 
@@ -97,6 +98,8 @@
         # Guards against a discovery that is down at the start: an old list serves better than none.
         wait = self._loaded if config.known["endpoints"] else self.loaded.set
         self._loop.call_later(KNOWN_AFTER, wait)
+        # Guards a tier that starts without a list while discovery is down: all have to be ready within 10 s.
+        self._loop.call_later(EMPTY_AFTER, self._loaded)
 
     def reload(self, config: Config) -> None:
         """Take over what a new configuration may change while the proxy runs: where discovery is."""
