--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -3,9 +3,10 @@
 Interface (settings, list rows, outcomes, actions): jaspershelf/model.py.
 
 Pure and sans-I/O: every method takes the time, returns the actions to carry out, and reads no clock.
-All randomness comes from the seed. The mechanism is that of go-zero PR #5366 with SRE-book throttling
-(docs/design.md): each server has a breaker that refuses locally with the larger of an error chance and
-a latency chance; of two random ready servers the one with the lower latency x (in-flight + 1) is taken.
+All randomness comes from the seed. The design: each server has a breaker that refuses a call locally with
+the larger of two chances, one from adaptive throttling by its errors (SRE book), one from its latency over
+the baseline (go-zero PR #5366); of two random ready servers the one with the lower latency x (in-flight + 1)
+is taken (power of two choices).
 """
 
 from __future__ import annotations
@@ -108,6 +109,8 @@
 
 Placement = tuple[tuple[int, ...] | None, tuple[int, ...] | None]  # kinds and zones that a class is bound to
 
+ASK_MOST = 2.0  # seconds, half as much again jittered, to a call to discovery: a change counts after 6 s
+
 SUBSCRIBE = 1  # timer token; those above it are of second copies
 
 
@@ -562,7 +565,7 @@
         if self.settings.discovery is not Discovery.ON_REQUEST:
             return []
         # All instances start together: spread the first calls over what the rules allow unasked.
-        return self._ask_in(now, 0.4 * self.settings.rules.ask_within * self.rng.random())
+        return self._ask_in(now, min(0.4 * self.settings.rules.ask_within, ASK_MOST) * self.rng.random())
 
     def _ask_in(self, now: float, delay: float) -> list[Action]:
         if self.asking:
@@ -575,7 +578,7 @@
         if kind is ListKind.BROKEN:
             # Jittered and doubling: every instance lost the same service at the same time.
             delay = self.backoff * (0.5 + self.rng.random())
-            self.backoff = min(2.0 * self.backoff, max(1.0, self.settings.rules.ask_within))
+            self.backoff = min(2.0 * self.backoff, max(1.0, self.settings.rules.ask_within), ASK_MOST)
             return self._ask_in(now, delay)
         if kind is not ListKind.STALE:
             self.backoff = 1.0
--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -16,7 +16,8 @@
 from lugspur.config import Address, ConfigError, read_address
 
 STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
-SILENT = 3.0  # seconds without a line after which a watch is dead: one comes every 2 s, and 6 s are all
+SILENT = 2.5  # seconds without a whole line after which a watch is dead: one comes every 2 s, and within 6 s
+# there has to be time for another watch that says nothing, its two pauses and a connect that times out
 CONNECT = 0.25  # seconds that a connect may take: the agent is on this machine
 AGAIN = 0.02  # seconds before a watch that had spoken is opened anew...
 RETRY = 0.1  # ...and before another try: it costs nothing, and what an agent has on return counts at once
@@ -185,10 +186,26 @@
         self._silence = self._loop.call_later(SILENT, self.close)
         transport.write(self._request)
 
+    def _heard(self) -> None:
+        """A whole line has come.
+
+        Guards against a watch that hangs on a machine that vanished: nothing else would tell. Bytes alone do
+        not count: a line that trickles and never ends would hold back all changes.
+        """
+        self._silence.cancel()
+        self._silence = self._loop.call_later(SILENT, self.close)
+
     def on_body(self, body: bytes) -> None:
         self._body.append(body)
 
+    def on_headers_complete(self) -> None:
+        if self._parser.get_status_code() > 200:  # no watch; below, the answer is still to come
+            self.close()
+
     def on_message_complete(self) -> None:
+        # Guards a list whose answer ends with it: the end stands for the line end that is missing.
+        if self._body or self._buffer:
+            self._body.append(b"\n")
         self.close()
 
     def close(self) -> None:
@@ -197,9 +214,6 @@
             self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        # Guards against a watch that hangs on a machine that vanished: nothing else would tell.
-        self._silence.cancel()
-        self._silence = self._loop.call_later(SILENT, self.close)
         try:
             self._parser.feed_data(data)
             self._lines()
@@ -226,6 +240,7 @@
         if not text.strip():
             if self._object:
                 raise ValueError("an object breaks off")
+            self._heard()
             self._tell(self, None)
             return
         begins = not self._object
@@ -239,6 +254,7 @@
                 raise  # no further line mends it
             return
         self._object = b""
+        self._heard()
         self._tell(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -37,6 +37,7 @@
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
 RETRIABLE = (408, 429)  # 4xx that are not the request's fault
 COMPLAIN_EVERY = 1.0  # seconds between two tracebacks in the log
+EMPTY_AFTER = 6.0  # seconds after which one that knows no server is ready too: what is told counts by then
 KNOWN_AFTER = 0.3  # seconds without a word from discovery after which the list known at the start serves
 IDENTITY = ("name", "listen", "seed", "sockets", "memory", "known")  # what a reload does not change
 
@@ -67,6 +68,10 @@
             for exchange in self.exchanges:
                 exchange.once()
 
+    def wanted(self) -> bool:
+        """Whether somebody is still there to be answered."""
+        return self.caller is not None and not self.caller.left()
+
     def bytes_for(self, left: float) -> bytes:
         """The request as it goes to a backend that is waited for so many seconds."""
         request = self.request
@@ -109,6 +114,8 @@
         # Guards against a discovery that is down at the start: an old list serves better than none.
         wait = self._loaded if config.known["endpoints"] else self.loaded.set
         self._loop.call_later(KNOWN_AFTER, wait)
+        # Guards a tier that starts without a list while discovery is down: all have to be ready within 10 s.
+        self._loop.call_later(EMPTY_AFTER, self._loaded)
 
     def reload(self, config: Config) -> list[str]:
         """Take over what a new configuration may change while the proxy runs, whole and in one instant.
@@ -330,9 +337,12 @@
 
         repeatable = call.row.repeat is not Repeat.UNSAFE
         backend = self._backends[action.server]
-        exchange = upstream.Exchange(backend, now, until, call.bytes_for, report, repeatable)
+        exchange = upstream.Exchange(backend, now, until, call.bytes_for, report, repeatable, call.wanted)
         call.exchanges.append(exchange)
-        self._upstream.start(exchange)
+        if exchange.wanted():
+            self._upstream.start(exchange)
+        else:
+            self._gone(call)
 
     def _outcome(
         self, call: Call, number: int, exchange: upstream.Exchange, outcome: Outcome,
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import re
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 WHOLE_WITHIN = 2.0  # seconds from its first byte in which a later one must be
 IDLE_MOST = 10.0  # seconds that a caller may keep its connection and ask nothing...
 IDLE_LEAST = 2.0  # ...and when connections run short, or where it never sent a request: by the protocol
+READING_MORE = 8  # beyond the limit on callers, while parts of their requests have come: most are soon whole
 CROWDED = 0.5  # part of the limit on callers from which connections count as short
 LINGER = 2.0  # seconds that a closing connection may take; meanwhile what comes is read and dropped:
 DROP_MOST = 64 << 20  # bytes; closing with bytes unread would reset the connection, and the answer with it
@@ -30,6 +32,7 @@
 PIPELINE_MOST = 8  # requests that may wait behind another: callers send one at a time
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTS = 8  # taken in one go: with no descriptor left the loop complains once for each, every second
+LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what the system says of a caller's close
 TIME = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 ID = re.compile(rb"[0-9A-Za-z._-]{1,64}")
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}  # backends may send others
@@ -115,14 +118,17 @@
         for caller in (*self.fresh, *self.idle):
             caller.close()
 
-    def full(self, newcomer: Caller) -> bool:
-        """Whether there are too many callers, and none but this one that could go."""
-        if len(self.callers) <= self.most:
+    def full(self, newcomer: Caller, whole: bool = False) -> bool:
+        """Whether there are too many callers, and none but this one, whose request may be whole, could go."""
+        over = len(self.callers) - self.most
+        if over <= 0:
             return False
-        # Guards good callers: those that are of no use go first, one whose request is being read never.
+        # Guards good callers: those that are of no use go first, one whose request is being read last.
         settled = self._loop.time() + FIRST_WITHIN - SETTLE
         silent = [caller for caller, limit in itertools.islice(self.fresh.items(), 1) if limit < settled]
-        for place in (self.leaving, silent, self.idle, self.fresh):
+        # Guards whole requests, and the descriptors, against many that never become whole.
+        reading = self.reading if whole or over > READING_MORE else ()
+        for place in (self.leaving, silent, self.idle, self.fresh, reading):
             for caller in place:
                 if caller is not newcomer:
                     caller.drop()
@@ -196,12 +202,21 @@
         self._move(front.fresh, front.last_accept + FIRST_WITHIN)
         front.full(self)  # Guards the limit on descriptors: one that can go makes room.
 
+    def eof_received(self) -> None:
+        # Guards against attempts for nobody: where an answer before is still unread, the connection ends only
+        # when that is out.
+        self._queue.clear()
+        self._leave()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._move(None)
         self._front.callers.discard(self)
         self._queue.clear()
         self._hold(0)
         self._intake.close()
+        self._leave()
+
+    def _leave(self) -> None:
         gone, self.gone = self.gone, None
         if gone is not None:
             gone()
@@ -224,6 +239,18 @@
         self._front.callers.discard(self)
         self._transport.abort()
 
+    def left(self) -> bool:
+        """Whether it has closed its connection, read or not.
+
+        Guards backends against attempts for nobody: while the loop was busy, or behind bytes that are still
+        unread, a close waits in the socket. One that ends its sending alone looks the same, and has left too.
+        """
+        if self._transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return any(events & LEFT for _, events in poll.poll(0))
+
     def pause_writing(self) -> None:
         self._stuck = True
 
@@ -294,7 +321,7 @@
             body = b"%b\nversion %b\n" % (b"ok" if healthy else b"not ready", self._front.version.encode())
             self.answer(200 if healthy else 503, b"", body)
         elif path == b"/api" or path.startswith(b"/api/"):  # a request without a key has no last part
-            if self._front.full(self):
+            if self._front.full(self, whole=True):
                 raise Rejected(503, "too many connections")
             self._used = True
             self._front.handle(request, self)
