Call the slice of servers by the field's word: subset

Words changed: slice and working set to subset (Pool.working to Pool.subset, WORKING_SPREAD and WORKING_EVERY to SUBSET_SPREAD and SUBSET_EVERY), in the module, its comments and the tests that name them. No behaviour is touched; the tests of the module pass as before.

--- a/emulator/budgets.py
+++ b/emulator/budgets.py
@@ -33,7 +33,7 @@
     Budget("change_age", "age of a change at the last proxy", 6.0, "s", True,
            "changes at the rate of the run, no cut"),
     Budget("change_hold", "one changed row holds the loop of a proxy that sees all rows", 1.1, "ms", False,
-           "the ready list, the groups and the slice are rebuilt at each change"),
+           "the ready list, the groups and the subset are rebuilt at each change"),
     Budget("added_p99", "added to a call, 99 in 100", 1.1, "ms", False, REST),
     Budget("added_p99_all_rows", "added to a call, 99 in 100, where a proxy sees all rows", 1.1, "ms",
            False, REST),
--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -70,10 +70,10 @@
 COPY_FREE = 1.0  # ...and one more, in any span of the retry budget
 
 STALE = 5.0  # seconds after which a silent server's latency counts half, the tier's the other half
-SPARE_SPREAD = 2  # servers behind a slice that stand in for it while it is busy, for each of its own...
+SPARE_SPREAD = 2  # servers behind a subset that stand in for it while it is busy, for each of its own...
 SPARE_LEAST = 2  # ...and so many more
-WORKING_SPREAD = 1.0  # servers of a slice beyond the first, for each root of the calls usually in flight
-WORKING_EVERY = 3.0  # seconds between looks at the size of the working set
+SUBSET_SPREAD = 1.0  # servers of a subset beyond the first, for each root of the calls usually in flight
+SUBSET_EVERY = 3.0  # seconds between looks at the size of the subset
 
 USUAL_SPAN = 30.0  # seconds with warm servers that the usual rate goes over...
 USUAL_LEAST = 8.0  # ...from so many calls on
@@ -388,27 +388,27 @@
 
 
 class Pool:
-    """The servers that some of the classes may go to, and the slice of them that ordinary picks draw from.
+    """The servers that some of the classes may go to, and the subset of them that ordinary picks draw from.
 
     Guards placement: every pick, first or further, comes from a list that holds open servers alone.
     """
 
     __slots__ = ("begin", "born", "breaker", "ends", "groups", "held", "held_at", "kinds", "owed", "place",
                  "rate", "ready", "sent", "served", "spare", "usual", "warm_from", "warm_part", "width",
-                 "working", "zones")
+                 "subset", "zones")
 
     def __init__(self, kinds: tuple[int, ...] | None, zones: tuple[int, ...] | None) -> None:
         self.place = kinds, zones
         self.kinds = kinds
         self.zones = zones
         self.ready: list[Server] = []
-        self.working: list[Server] = []  # the part of `ready` that ordinary picks draw from...
-        self.ends: list[float] = []  # ...where each one's stretch of the slice ends, by size...
-        self.begin = self.width = 0.0  # ...and the slice
-        self.spare: list[Server] = []  # the servers that follow the slice on the ring
+        self.subset: list[Server] = []  # the part of `ready` that ordinary picks draw from...
+        self.ends: list[float] = []  # ...where each one's stretch of the subset ends, by size...
+        self.begin = self.width = 0.0  # ...and the subset
+        self.spare: list[Server] = []  # the servers that follow the subset on the ring
         self.groups: dict[tuple[Group, int], list[Server]] = {}  # which servers drop each other's repeats
         self.rate, self.sent, self.served = Rate(), Rate(), Rate()  # requests offered, attempts, served
-        self.usual = UsualRate()  # attempts while all of the slice were warm
+        self.usual = UsualRate()  # attempts while all of the subset were warm
         self.born = float("inf")  # when the first request came
         self.owed = 0  # requests that a final answer is owed for...
         self.held = self.held_at = 0.0  # ...and how many they were lately, as of then
@@ -422,14 +422,14 @@
             self.zones is None or row.zone in self.zones)
 
     def part_rate(self, now: float) -> float:
-        """What each server of the slice gets from here, in calls a second.
+        """What each server of the subset gets from here, in calls a second.
 
         By calls sent: refused clients come back and count again. Where all are cold, by calls offered, as
         what is sent then follows from this, but not beyond the usual: who comes back counts there too.
         """
         offered = min(self.rate.read(now), self.usual.read())
         rate = self.warm_part * self.sent.read(now) + (1.0 - self.warm_part) * offered
-        return rate / max(1, len(self.working))
+        return rate / max(1, len(self.subset))
 
 
 class Balancer:
@@ -628,48 +628,48 @@
         self._resize(now)
 
     def _resize(self, now: float) -> None:
-        """Choose the slice of each pool's ring that ordinary calls are spread over.
+        """Choose the subset of each pool's ring that ordinary calls are spread over.
 
         Guards against sparse windows: with few calls to many servers a breaker never leaves its protection,
         averages go stale, and the own in-flight says nothing. Acts where there are other instances. A
         server's stretch is as long as its size; whole steps cover every server alike.
         """
-        self.look_at = now + WORKING_EVERY
+        self.look_at = now + SUBSET_EVERY
         for pool in self.pools:
             total = sum(s.row.size or 1.0 for s in pool.ready)
             mean = total / max(1, len(pool.ready))
-            want = mean * (1.0 + WORKING_SPREAD * sqrt(pool.rate.read(now) * self.pooled))
+            want = mean * (1.0 + SUBSET_SPREAD * sqrt(pool.rate.read(now) * self.pooled))
             step = total / self.settings.balancers  # only whole steps cover every server alike
             pool.width = min(total, step * max(1, round(want / step))) if total else 0.0
             pool.begin = step * self.settings.me
-            pool.working = []
+            pool.subset = []
             pool.ends = []
             at = 0.0
-            for _ in range(2):  # the slice may reach past the ring's end
+            for _ in range(2):  # the subset may reach past the ring's end
                 for server in pool.ready:
                     at += server.row.size or 1.0
                     if pool.begin < at and at - (server.row.size or 1.0) < pool.begin + pool.width:
-                        pool.working.append(server)
+                        pool.subset.append(server)
                         pool.ends.append(at)
             pool.spare = self._following(pool)
             self._count_warm(now, pool)
 
     @staticmethod
     def _following(pool: Pool) -> list[Server]:
-        """The servers that stand in for a busy slice: the next ones on the ring.
+        """The servers that stand in for a busy subset: the next ones on the ring.
 
         Guards servers against a connection from every proxy of a large fleet: each new one costs them a
         handshake and room, and one to a server that is seldom called is never used again.
         """
-        if not pool.working:
+        if not pool.subset:
             return []
-        at = pool.ready.index(pool.working[-1]) + 1
+        at = pool.ready.index(pool.subset[-1]) + 1
         ring = pool.ready[at:] + pool.ready[:at]
-        count = SPARE_LEAST + SPARE_SPREAD * len(pool.working)
-        return [server for server in ring[:count] if server not in pool.working]
+        count = SPARE_LEAST + SPARE_SPREAD * len(pool.subset)
+        return [server for server in ring[:count] if server not in pool.subset]
 
     def _count_warm(self, now: float, pool: Pool) -> None:
-        until = [self._cold_until(s) for s in pool.working]
+        until = [self._cold_until(s) for s in pool.subset]
         cold = [t for t in until if t > now]
         pool.warm_from = min(cold, default=float("inf"))
         pool.warm_part = 1.0 - len(cold) / len(until) if until else 1.0
@@ -733,8 +733,8 @@
             self.pace *= 0.94  # a refusal teaches nothing: no unfair baseline stays for good
         over = self._over_share(now, tenant)
         taken = not hopeless and self._admits(now, kind, over)
-        # The list stands in for a dead slice, less its cold servers: others' slices share their budget.
-        rest = (pool.working, True), (pool.ready, False)
+        # The list stands in for a dead subset, less its cold servers: others' subsets share their budget.
+        rest = (pool.subset, True), (pool.ready, False)
         if not taken or not any(self._send(now, request, among, first, out) for among, first in rest):
             self._answer(now, request, out)
         return out
@@ -896,8 +896,8 @@
     def _offers(self, now: float, request: Request, among: list[Server], first: bool) -> list[Server]:
         """The candidates, the best first.
 
-        Guards requests against waiting behind others in a slice while servers outside it stand idle, most of
-        all where it is narrow or a server of it is slow or dead: where all candidates of the slice are busy
+        Guards requests against waiting behind others in a subset while servers outside it stand idle, most of
+        all where it is narrow or a server of it is slow or dead: where all candidates of the subset are busy
         or outliers, two of all servers are drawn too, taken to hold of others' what ours hold of ours on
         average. Could harm where others have far more traffic: their servers are busier than they seem.
         """
@@ -905,11 +905,11 @@
         scores = {s: s.score(now, pooled) for s in self._candidates(now, request, among, first)}
         if first and all(server.out or server.mostly_fails(now) for server in scores):
             pool = request.pool
-            unseen = pool.sent.read(now) * self.pooled / max(1, len(pool.working))
+            unseen = pool.sent.read(now) * self.pooled / max(1, len(pool.subset))
             dead = all(server.mostly_fails(now) for server in scores)
             behind = pool.spare if pool.spare and not dead else pool.ready
             for server in self._candidates(now, request, behind, False):
-                if server not in pool.working:
+                if server not in pool.subset:
                     scores[server] = server.score(now, pooled, unseen)
         if request.row.repeat is Repeat.UNSAFE:
             # Guards what can't be tried again against an outlier: its breaker lets calls through until it has
@@ -927,7 +927,7 @@
             self._count_warm(now, pool)
         tried = [a.server for a in request.attempts]
         for _ in range(DRAWS if among else 0):
-            if among is pool.working:
+            if among is pool.subset:
                 at = bisect_right(pool.ends, pool.begin + pool.width * self.rng.random())
                 server = among[min(at, count - 1)]
             else:
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -67,7 +67,7 @@
     load: float = 0.65  # of all capacity, before the servers start anew
     burst: float = 1.5  # the traffic from two seconds after the start on, as a multiple of that before
     skewed: float = 1.0  # the traffic of one in ten instances, as a multiple of the others'...
-    neighbours: bool = False  # ...and whether their slices meet
+    neighbours: bool = False  # ...and whether their subsets meet
     joins: bool = False  # whether the cold servers are new ones rather than old ones that restart
 
 
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -95,34 +95,34 @@
     assert isinstance(send, Send) and send.timeout == 0.0
 
 
-def slice_shares(balancers: int, servers: int) -> list[float]:
+def subset_shares(balancers: int, servers: int) -> list[float]:
     """How much each server gets when every instance sends one call after another."""
     shares = dict.fromkeys(range(1, servers + 1), 0.0)
     for me in range(balancers):
         b = Balancer(Settings(classes=(SAFE,), balancers=balancers, me=me), me)
         b.members(100.0, ListKind.STALE, [ServerRow(i) for i in shares])
         begin, width = b.pools[0].begin, b.pools[0].width
-        for server, end in zip(b.pools[0].working, b.pools[0].ends, strict=True):
+        for server, end in zip(b.pools[0].subset, b.pools[0].ends, strict=True):
             low = max(begin, end - 1.0)
             shares[server.row.server] += max(0.0, min(begin + width, end) - low) / width
     return list(shares.values())
 
 
 @pytest.mark.parametrize(("balancers", "servers"), [(12, 20), (20, 12), (7, 7), (60, 15), (1, 5)])
-def test_slices_cover_every_server_alike(balancers: int, servers: int) -> None:
-    shares = slice_shares(balancers, servers)
+def test_subsets_cover_every_server_alike(balancers: int, servers: int) -> None:
+    shares = subset_shares(balancers, servers)
     if balancers >= servers:
         assert shares == pytest.approx([balancers / servers] * servers)
-    else:  # narrow slices leave gaps that load closes by widening them
+    else:  # narrow subsets leave gaps that load closes by widening them
         assert sum(shares) == pytest.approx(balancers) and max(shares) <= 1.0 + 1e-9
 
 
-def test_slices_widen_with_the_calls_in_flight() -> None:
+def test_subsets_widen_with_the_calls_in_flight() -> None:
     settings = Settings(classes=(SAFE,), balancers=40)
     checker = Checker(settings, 1, [ServerRow(i) for i in range(40)])
-    assert len(checker.balancer.pools[0].working) == 1
+    assert len(checker.balancer.pools[0].subset) == 1
     steady(checker, 8.0, 100.0)
-    assert 3 < len(checker.balancer.pools[0].working) < 40
+    assert 3 < len(checker.balancer.pools[0].subset) < 40
 
 
 def steady(checker: Checker, seconds: float, rate: float, kind: int = 0) -> None:
@@ -367,11 +367,11 @@
     assert b.outcome(100.98, "r", 0, Outcome.TIMEOUT, 0.98) == [Fail("r")]
 
 
-def test_the_rest_of_the_list_stands_in_for_a_dead_slice() -> None:
+def test_the_rest_of_the_list_stands_in_for_a_dead_subset() -> None:
     rows = [ServerRow(i) for i in range(1, 21)]
     b = balancer(Settings(classes=(SAFE,), balancers=20, limits=Limits(max_attempts=3)), rows)
-    [own] = b.pools[0].working
-    for n in range(40):  # the only server of the slice cannot be reached
+    [own] = b.pools[0].subset
+    for n in range(40):  # the only server of the subset cannot be reached
         now = 100.0 + n / 10
         sends = b.request(now, f"r{n}", 0, 0, now + 4.0)
         if isinstance(sends[0], Send) and sends[0].server == own.row.server:
@@ -385,15 +385,15 @@
     assert len(used) > 8
 
 
-def test_a_busy_slice_sends_on_to_the_few_servers_behind_it() -> None:
+def test_a_busy_subset_sends_on_to_the_few_servers_behind_it() -> None:
     used: Counter[int] = Counter()
     for me in range(100):
         settings = Settings(classes=(SAFE,), balancers=100, me=me)
         b = balancer(settings, [ServerRow(i) for i in range(1, 101)])
-        own = {s.row.server for s in b.pools[0].working}
+        own = {s.row.server for s in b.pools[0].subset}
         assert len(own) == 1
         sent = set()
-        for n in range(60):  # never more than the slice can hold is answered in the meantime
+        for n in range(60):  # never more than the subset can hold is answered in the meantime
             now = 100.0 + n / 100
             [send] = b.request(now, f"r{n}", 0, 0, now + 4.0)
             assert isinstance(send, Send)
@@ -426,13 +426,13 @@
     assert len(sent) + tried > 2, "only what is always let through was tried"
 
 
-def test_cold_servers_outside_the_slice_get_nothing_when_it_refuses() -> None:
+def test_cold_servers_outside_the_subset_get_nothing_when_it_refuses() -> None:
     rows = [ServerRow(i) for i in range(1, 21)]
     b = balancer(Settings(classes=(SAFE,), balancers=20), rows)
-    [own] = b.pools[0].working
+    [own] = b.pools[0].subset
     cold = [ServerRow(i, started=100.0) for i in range(1, 21) if i != own.row.server]
     b.members(100.1, ListKind.PATCH, cold)
-    assert b.pools[0].working == [own]
+    assert b.pools[0].subset == [own]
     for n in range(60):
         now = 100.2 + n / 20
         for action in b.request(now, f"r{n}", 0, 0, now + 4.0):
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -702,11 +702,11 @@
     asyncio.run(play())
 
 
-def test_a_busy_slice_does_not_hold_what_an_idle_server_could_do() -> None:
+def test_a_busy_subset_does_not_hold_what_an_idle_server_could_do() -> None:
     async def play() -> None:
         async with backend(lambda _: None) as one, backend(lambda _: None) as two:
             listed = [entry("a", one.address), entry("b", two.address)]
-            async with running(listed, settings=altered(Instances=2)) as up:  # a slice of one
+            async with running(listed, settings=altered(Instances=2)) as up:  # a subset of one
                 clients = [await up.client() for _ in range(2)]
                 for number, client in enumerate(clients):
                     client.writer.write(book(number))
--- a/tests/test_reconfigure.py
+++ b/tests/test_reconfigure.py
@@ -250,17 +250,17 @@
 
 
 @pytest.mark.parametrize("me", [0, 3, 6])
-def test_another_size_of_the_fleet_moves_the_slice(me: int) -> None:
+def test_another_size_of_the_fleet_moves_the_subset(me: int) -> None:
     rows = [ServerRow(i) for i in range(40)]
     c = checker(replace(BASE, balancers=2, me=1), rows)
     resized = replace(BASE, balancers=7, me=me)
     c.reconfigure(resized)
     anew = checker(resized, rows).balancer
 
-    def slice_of(b: Balancer) -> list[int]:
-        return [server.row.server for server in b.pools[0].working]
+    def subset_of(b: Balancer) -> list[int]:
+        return [server.row.server for server in b.pools[0].subset]
 
-    assert slice_of(c.balancer) == slice_of(anew)
+    assert subset_of(c.balancer) == subset_of(anew)
     assert (c.balancer.crowd, c.balancer.alone) == (anew.crowd, anew.alone)
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -340,10 +340,10 @@
 
             for name in ("_arrange", "members"):
                 monkeypatch.setattr(decide.Balancer, name, counted(name))
-            before = [server.row.server for server in up.proxy._balancer.pools[0].working]
+            before = [server.row.server for server in up.proxy._balancer.pools[0].subset]
             up.reload(**swap)
             assert done == ["_arrange"]
-            after = [server.row.server for server in up.proxy._balancer.pools[0].working]
+            after = [server.row.server for server in up.proxy._balancer.pools[0].subset]
             assert (after != before) == ("Ordinal" in swap)
 
     asyncio.run(play())
