Emulator: a run of settings in force without a restart, at real proxies

Cause: that a change of settings is in force everywhere within 6 s, what it costs a proxy and whether calls are lost meanwhile was measured nowhere.

Change: `python -m emulator settings` starts 24 real proxies (quick: 4) with 910 rows in `known`, writes each a new file at every change (aim and deadline, share, size of the fleet, a class more or less), sends SIGHUP and reads the version in /healthz until it is the new one or 6 s are over, while four of the proxies are called. Then, at proxies without calls: processor time of a reload, of a reread with the same settings and of the swap between them at 12, 91, 300 and 910 rows, with fits, and resident memory over 50 swaps. `--program PATH` measures the proxy of another tree; one without a version line has nothing in force and breaks the budget of ages. New budgets: `settings_age` (held) and `settings_hold` (not held). `commit` of a folder within a tree is unknown now, not the tree's.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -15,15 +15,16 @@
 import psutil
 
 from emulator.budgets import check
-from emulator.result import RESULTS
-from emulator.runs import fleet, hollow, slopes
+from emulator.result import RESULTS, ROOT
+from emulator.runs import fleet, hollow, settings, slopes
 from emulator.runs.common import Done, Options, bounded, say
 
 ADDED = "added"
 LONGEST, LONGEST_QUICK = 300, 60  # seconds that one run may take
 RUNS: dict[str, Callable[[Options], Done]] = {
-    "slopes": slopes.run, "hollow": hollow.run, "fleet": fleet.run,
+    "slopes": slopes.run, "hollow": hollow.run, "fleet": fleet.run, "settings": settings.run,
 }
+OTHER_PROGRAM = ("settings",)  # runs that can measure the proxy of another tree
 
 
 def options(command: Callable[..., Any]) -> Callable[..., Any]:
@@ -60,11 +61,16 @@
 def _command(name: str, run: Callable[[Options], Done]) -> click.Command:
     @click.command(name, help=(run.__doc__ or name).partition("\n")[0])
     @options
-    def command(seed: int, out: Path, quick: bool) -> None:
-        done = _bounded(run, Options(seed, out, quick))
+    def command(seed: int, out: Path, quick: bool, program: Path = ROOT) -> None:
+        done = _bounded(run, Options(seed, out, quick, program))
         say(name, f"result in {done.path}")
         sys.exit(_report(done.figures))
 
+    if name in OTHER_PROGRAM:
+        click.option(
+            "--program", default=ROOT, help="Tree of the proxy to measure (default: this tree).",
+            type=click.Path(exists=True, file_okay=False, resolve_path=True, path_type=Path),
+        )(command)
     return command
 
 
--- a/emulator/added.py
+++ b/emulator/added.py
@@ -154,13 +154,18 @@
 
 
 async def start(
-    stack: AsyncExitStack, cores: frozenset[int], *arguments: str, **environ: str
+    stack: AsyncExitStack, cores: frozenset[int], *arguments: str, cwd: Path = ROOT, quiet: bool = False,
+    **environ: str,
 ) -> Process:
-    """This interpreter with these arguments, on these cores; killed when the stack ends."""
+    """This interpreter with these arguments, on these cores; killed when the stack ends.
+
+    Modules come from `cwd` first; with `quiet`, what it says on standard error is dropped.
+    """
     clean = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, *arguments, cwd=ROOT, env=clean | {"OPENBLAS_NUM_THREADS": "1"} | environ,
-        stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=16 << 20,
+        sys.executable, *arguments, cwd=cwd, env=clean | {"OPENBLAS_NUM_THREADS": "1"} | environ,
+        stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL if quiet else None, limit=16 << 20,
     )
     stack.push_async_callback(stop, process)
     os.sched_setaffinity(process.pid, cores)
--- a/emulator/result.py
+++ b/emulator/result.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 from typing import Any
 
-RESULTS = Path(__file__).parent.parent / "results"  # where results go unless told otherwise
+ROOT = Path(__file__).resolve().parent.parent
+RESULTS = ROOT / "results"  # where results go unless told otherwise
 LIBRARIES = ("httptools", "orjson", "click", "hdrhistogram", "numpy", "psutil")
 
 
@@ -34,7 +35,7 @@
 
 def versions() -> dict[str, str]:
     """The commit of this tree ("+" behind it: with changes beside it) and the libraries' versions."""
-    found = {"commit": _commit()}
+    found = {"commit": commit()}
     for name in LIBRARIES:
         try:
             found[name] = metadata.version(name)
@@ -43,17 +44,22 @@
     return found
 
 
-def _git(*words: str) -> str:
-    root = Path(__file__).parent.parent
+def _git(root: Path, *words: str) -> str:
     done = subprocess.run(["git", *words], cwd=root, capture_output=True, text=True, timeout=10, check=True)
     return done.stdout.strip()
 
 
-def _commit() -> str:
+def commit(root: Path = ROOT) -> str:
+    """The commit of a tree, "+" behind it where there are changes beside it; "unknown" without a history.
+
+    A folder within a tree has none of its own.
+    """
     try:
-        changed = _git("status", "--porcelain", "--untracked-files=no", "--", ".", ":!results")
-        return _git("rev-parse", "HEAD") + ("+" if changed else "")
-    except (OSError, subprocess.SubprocessError):  # a tree without its history
+        if _git(root, "rev-parse", "--show-prefix"):
+            return "unknown"
+        changed = _git(root, "status", "--porcelain", "--untracked-files=no", "--", ".", ":!results")
+        return _git(root, "rev-parse", "HEAD") + ("+" if changed else "")
+    except (OSError, subprocess.SubprocessError):
         return "unknown"
 
 
--- a/emulator/runs/common.py
+++ b/emulator/runs/common.py
@@ -15,6 +15,7 @@
 import numpy as np
 
 from emulator.registry import HOST
+from emulator.result import ROOT
 from emulator.topology import Entry
 
 CHANGES_A_DAY, DAY = 2900, 86400.0  # the target's changes of configuration; seconds
@@ -23,11 +24,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Options:
-    """What every run is told."""
+    """What every run is told; `program` is the tree of the proxy, where a run can measure another one."""
 
     seed: int
     out: Path
     quick: bool
+    program: Path = ROOT
 
     def name(self, run: str) -> str:
         """What a run's result is called: a small edition overwrites no whole one."""
--- a/tests/test_emulator_command.py
+++ b/tests/test_emulator_command.py
@@ -14,7 +14,8 @@
 
 
 @pytest.mark.parametrize(
-    "words", [[], ["odd"], ["slopes", "--seed", "x"], ["fleet", "--odd"], ["hollow", "--out", __file__]]
+    "words", [[], ["odd"], ["slopes", "--seed", "x"], ["fleet", "--odd"], ["hollow", "--out", __file__],
+              ["settings", "--program", __file__], ["slopes", "--program", "."]]
 )
 def test_bad_arguments_are_one_line_and_2(words: list[str]) -> None:
     done = subprocess.run(
