emulator: real proxies listen at ports that no connection gets

One cause that fits: added.free_ports handed out ports that outgoing connections get as well, where a client can meet itself. It is gone; the run uses the other runs' free_ports.

--- a/emulator/added.py
+++ b/emulator/added.py
@@ -10,7 +10,6 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 import time
 from asyncio.subprocess import Process
@@ -22,11 +21,13 @@
 from typing import Any
 
 import click
+import numpy as np
 import psutil
 
 from emulator.backend import HOST, port_of
 from emulator.caller import Plan, Stream, histogram, plan_line
 from emulator.result import RESULTS, write
+from emulator.runs.common import free_ports
 
 ROOT = Path(__file__).resolve().parent.parent
 AVERAGE = 154.0  # calls a second at a proxy, of the size of two years...
@@ -215,15 +216,6 @@
     raise RunError(f"the proxy at port {port} was not ready within {PATIENCE:.0f} s")
 
 
-def free_ports(count: int) -> list[int]:
-    """So many different ports that nobody has at the moment."""
-    held = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [int(sock.getsockname()[1]) for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
-
-
 @dataclass(slots=True, frozen=True)
 class Usage:
     """What a process has used since its start: processor seconds, bytes resident now, times preempted."""
@@ -258,7 +250,7 @@
     discovery = await asyncio.get_running_loop().create_server(lambda: Watch(known), HOST, 0)
     stack.callback(discovery.close)
     folder = Path(stack.enter_context(TemporaryDirectory()))
-    listens = free_ports(len(trial.rates))
+    listens = free_ports(len(trial.rates), np.random.default_rng(seed))
     processes = []
     for n, (port, cores) in enumerate(zip(listens, placement.proxies, strict=True)):
         path = folder / f"n{n}.json"
--- a/tests/test_emulator_added.py
+++ b/tests/test_emulator_added.py
@@ -15,6 +15,7 @@
 from emulator import added
 from emulator.backend import ANSWER, HOST, listen, port_of
 from emulator.caller import OpenLoop, Plan, Stream, Tally, arrivals, draw, encode, plan_line, read_plan
+from emulator.runs.common import free_ports
 from lugspur.config import load
 
 
@@ -73,7 +74,7 @@
 
 
 def test_calls_that_nobody_takes_are_lost_and_not_recorded() -> None:
-    [port] = added.free_ports(1)
+    [port] = free_ports(1, np.random.default_rng(1))
     caller = OpenLoop(Plan(1, 0.0, 0.1, [Stream("n0", [port], 100.0)]))
     caller.run(time.perf_counter() - 1.0)
     [tally] = caller.tallies
