--- a/emulator/added.py
+++ b/emulator/added.py
@@ -250,7 +250,8 @@
     discovery = await asyncio.get_running_loop().create_server(lambda: Watch(known), HOST, 0)
     stack.callback(discovery.close)
     folder = Path(stack.enter_context(TemporaryDirectory()))
-    listens = free_ports(len(trial.rates), np.random.default_rng(seed))
+    # By the trial's name too: two that run at once must not come upon the same ports.
+    listens = free_ports(len(trial.rates), np.random.default_rng([seed, *trial.name.encode()]))
     processes = []
     for n, (port, cores) in enumerate(zip(listens, placement.proxies, strict=True)):
         path = folder / f"n{n}.json"
