--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import importlib
 import json
 import signal
 import sys
@@ -14,6 +13,7 @@
 import click
 import psutil
 
+from emulator import added
 from emulator.budgets import check
 from emulator.result import RESULTS, ROOT
 from emulator.runs import fleet, hollow, settings, slopes
@@ -87,9 +87,8 @@
     for name, run in RUNS.items():
         say(name, "begins")
         figures |= _bounded(run, given).figures
-    if ADDED in cli.commands:
-        say(ADDED, "begins")
-        figures |= _added(given)
+    say(ADDED, "begins")
+    figures |= _added(given)
     sys.exit(_report(figures))
 
 
@@ -106,11 +105,7 @@
     return dict(json.loads(path.read_text(encoding="utf-8")).get("figures", {}))
 
 
-try:  # the run of real processes under calls, where it is there
-    cli.add_command(importlib.import_module("emulator.added").command, ADDED)
-except ModuleNotFoundError as _fault:
-    if _fault.name != "emulator.added":
-        raise
+cli.add_command(added.command, ADDED)
 
 
 def main() -> int:
