--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -95,20 +95,22 @@
     return [known.address[1] for known in up.proxy._backends.values()]
 
 
+async def told_in_time(fault: str, times: int) -> None:
+    """From the start so many calls fail alike; the change is told before it counts."""
+    agent = Agent([FAULTS[fault]] * times)
+    server = await asyncio.start_server(agent.serve, HOST, 0)
+    clock = Clock()
+    port = server.sockets[0].getsockname()[1]
+    async with running([entry("a", f"{HOST}:1")], discovery=port) as up:
+        took = await waited(clock, agent, lambda: places(up) == [2])
+        assert took < COUNTS, f"told after {took:.2f} s and {agent.calls} calls"
+    server.close()
+
+
 @pytest.mark.parametrize("times", [1, 2])
 @pytest.mark.parametrize("fault", FAULTS)
 def test_failed_calls_from_the_start_do_not_hold_up_a_change(fault: str, times: int) -> None:
-    async def play() -> None:
-        agent = Agent([FAULTS[fault]] * times)
-        server = await asyncio.start_server(agent.serve, HOST, 0)
-        clock = Clock()
-        port = server.sockets[0].getsockname()[1]
-        async with running([entry("a", f"{HOST}:1")], discovery=port) as up:
-            took = await waited(clock, agent, lambda: places(up) == [2])
-            assert took < COUNTS, f"told after {took:.2f} s and {agent.calls} calls"
-        server.close()
-
-    asyncio.run(play())
+    asyncio.run(told_in_time(fault, times))
 
 
 @pytest.mark.parametrize(
@@ -116,17 +118,7 @@
     ["another status", "another status, chunked", "a closed connection", "an empty answer", "no HTTP"],
 )
 def test_calls_that_fail_at_once_do_not_add_up(fault: str) -> None:
-    async def play() -> None:
-        agent = Agent([FAULTS[fault]] * 10)
-        server = await asyncio.start_server(agent.serve, HOST, 0)
-        clock = Clock()
-        port = server.sockets[0].getsockname()[1]
-        async with running([entry("a", f"{HOST}:1")], discovery=port) as up:
-            took = await waited(clock, agent, lambda: places(up) == [2])
-            assert took < COUNTS, f"told after {took:.2f} s and {agent.calls} calls"
-        server.close()
-
-    asyncio.run(play())
+    asyncio.run(told_in_time(fault, 10))
 
 
 @pytest.mark.parametrize("ends", ["silent", "a line that trickles", "an object that trickles"])
