emulator: one look at a proxy's health serves both runs

settings.look and added.healthy wrote the same request twice; the look is added's now, and closes its connection also where it fails.

--- a/emulator/added.py
+++ b/emulator/added.py
@@ -199,16 +199,22 @@
     return line
 
 
+async def look(port: int) -> bytes:
+    """A proxy's whole answer to one health check."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    try:
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: proxy\r\nConnection: close\r\n\r\n")
+        return await reader.read()
+    finally:
+        writer.close()
+
+
 async def healthy(port: int) -> None:
     """Wait until a proxy answers 200 to its health check; a RunError where it does not in time."""
     end = time.monotonic() + PATIENCE
     while time.monotonic() < end:
         try:
-            reader, writer = await asyncio.open_connection(HOST, port)
-            writer.write(b"GET /healthz HTTP/1.1\r\nHost: proxy\r\nConnection: close\r\n\r\n")
-            answer = await reader.read()
-            writer.close()
-            if answer.startswith(b"HTTP/1.1 200 "):
+            if (await look(port)).startswith(b"HTTP/1.1 200 "):
                 return
         except OSError:
             pass
--- a/emulator/runs/settings.py
+++ b/emulator/runs/settings.py
@@ -172,7 +172,7 @@
     async def version(self) -> str | None:
         """The version in force; None where none is told in time."""
         try:
-            return version_of(await asyncio.wait_for(look(self.port), ANSWER))
+            return version_of(await asyncio.wait_for(added.look(self.port), ANSWER))
         except (OSError, TimeoutError):
             return None
 
@@ -184,16 +184,6 @@
     beside.replace(path)
 
 
-async def look(port: int) -> bytes:
-    """A proxy's whole answer to one health check."""
-    reader, writer = await asyncio.open_connection(HOST, port)
-    try:
-        writer.write(b"GET /healthz HTTP/1.1\r\nHost: proxy\r\nConnection: close\r\n\r\n")
-        return await reader.read()
-    finally:
-        writer.close()
-
-
 @dataclass(slots=True)
 class _Rig:
     """What all processes of the run have in common."""
