Ask the decisions once more just before an attempt's first byte

Seen: a retry of a keyed request that had to dial was sent after the deduplication window, after a reload by which its class must not run twice, and after its backend had left the cell that recognises the repeat (test_retry_races, 3 of 3 parameters failed: the backends received 2 requests).

Cause: `RequestState.retry_endpoints` checked idempotency, window and scope as the retry was decided; `ConnectionPool._send` asked again only for the deadline, the drain, the process and the client. A dial may take the whole of DialTimeout, and the window of a request counts from its first attempt.

Ruled out: the window's margin (a tenth of the window, 0.1 s of 1 s, against 0.25 s for a dial); misplaced attempts, which a reload ended already; connections that rest (the same function sends on them).

Change: `balancer/send_permission.py` is the one place that says whether an attempt may be written now: request open, time left, endpoint in service and the same process, placement, hedging, repeat. The network code asks it before the first byte and reports a refused attempt as never sent. An attempt keeps its endpoint as it was listed when it started, so that a scope does not move with the list. `Reject` names its reason.

--- a/balancer/admission_control.py
+++ b/balancer/admission_control.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from balancer.endpoint_pool import EndpointPool
+from balancer.events import RejectReason
 from balancer.latency_statistics import MIN_SAMPLES, LatencyStatistics
 from balancer.settings import Settings
 
@@ -52,8 +53,10 @@
         self.shedding_strength = min(1.0, others / (SHEDDING_FULL_FLEET - SHEDDING_MIN_FLEET))
         self.admitted_alone = ADMITTED_ALONE if settings.fleet_size <= settings.zone_count else 0.0
 
-    def admits(self, now: float, pool: EndpointPool, class_index: int, within_quota: bool) -> bool:
-        """Whether to admit a request that is counted as pending already.
+    def rejection(
+        self, now: float, pool: EndpointPool, class_index: int, within_quota: bool
+    ) -> RejectReason | None:
+        """Return why not to admit a request that is counted as pending already; None to admit it.
 
         What would end late is rejected at once: where the requests pending, over those served a second, make
         a wait too long for the class, by latency, or by adaptive throttling over whole requests. That sees
@@ -62,7 +65,7 @@
         where there are none they come straight back, so there a burst is no overload until requests fail.
         """
         if self._settings.tier:
-            return True
+            return None
         shrink = min(1.0, FAILING_SLOPE * pool.breaker.failure_ratio(now))
         budget = self._wait_budget(class_index, shrink)
         if not within_quota:
@@ -73,14 +76,14 @@
         served = max(served, pool.served_rate.read(now))
         served /= 1.0 - exp(-max(age, MIN_AGE) / RATE_SPAN)
         if pool.pending > budget * served + ADMITTED_ALWAYS + self.admitted_alone * (1.0 - shrink):
-            return False
+            return RejectReason.PENDING
         if self._sheds_by_latency(now, pool, class_index, served):
-            return False
+            return RejectReason.LATENCY
         multiplier = self._multipliers[class_index]
         if self._rng.random() < pool.breaker.error_probability(now, multiplier, POOL_PROTECTION):
             pool.breaker.record_rejection(now)
-            return False
-        return True
+            return RejectReason.THROTTLED
+        return None
 
     def _wait_budget(self, class_index: int, shrink: float) -> float:
         """Return the expected wait up to which a class is admitted.
--- a/balancer/attempts.py
+++ b/balancer/attempts.py
@@ -4,6 +4,7 @@
 
 from balancer.endpoint_pool import EndpointPool
 from balancer.endpoint_state import AttemptState, EndpointState
+from balancer.endpoints import Endpoint
 from balancer.events import Action, CancelAttempt, RequestId
 from balancer.settings import DeduplicationScope, Idempotency, Limits, RequestClass
 
@@ -28,24 +29,44 @@
     answered: bool = False
     response_started: bool = False  # of a stream: the request belongs to one attempt
 
-    def first_possible_run(self) -> AttemptState | None:
-        """Return the first attempt that may have run, or may be running."""
-        return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
+    def first_possible_run(self, other_than: int = -1) -> AttemptState | None:
+        """Return the first attempt that may have run, or may be running; one of them can be left out."""
+        numbered = enumerate(self.attempts)
+        return next((attempt for n, attempt in numbered if attempt.may_have_run and n != other_than), None)
+
+    def has_other_open_attempt(self, number: int) -> bool:
+        """Whether another attempt than this one is open."""
+        return self.open_attempts - self.attempts[number].is_open > 0
 
     def retry_endpoints(self, now: float) -> list[EndpointState]:
         """Return where a retry may go by the rules, which keep an effect from being done twice."""
-        idempotency, scope = self.request_class.idempotency, self.request_class.deduplication_scope
         first = self.first_possible_run()
-        if first is None or idempotency is Idempotency.IDEMPOTENT:
+        if first is None or self.request_class.idempotency is Idempotency.IDEMPOTENT:
             return self.pool.ready
-        window = WINDOW_MARGIN * self.request_class.deduplication_window
-        if idempotency is Idempotency.NON_IDEMPOTENT or now - first.started_at >= window:
+        if not self._is_deduplicated(now, first):
             return []
+        scope = self.request_class.deduplication_scope
         if scope is DeduplicationScope.ALL:
             return self.pool.ready
-        endpoint = first.target.endpoint
-        place = endpoint.zone if scope is DeduplicationScope.ZONE else endpoint.cell
-        return self.pool.deduplication_groups.get((scope, place), [])
+        return self.pool.deduplication_groups.get((scope, _place(first.endpoint, scope)), [])
+
+    def allows_repeat(self, now: float, endpoint: Endpoint, number: int) -> bool:
+        """Whether an attempt may run at an endpoint now, by what the others may have done.
+
+        It says the same as `retry_endpoints`, of an attempt that was started there and is still to be sent.
+        """
+        first = self.first_possible_run(other_than=number)
+        if first is None or self.request_class.idempotency is Idempotency.IDEMPOTENT:
+            return True
+        scope = self.request_class.deduplication_scope
+        in_scope = scope is DeduplicationScope.ALL or _place(endpoint, scope) == _place(first.endpoint, scope)
+        return in_scope and self._is_deduplicated(now, first)
+
+    def _is_deduplicated(self, now: float, first: AttemptState) -> bool:
+        """Whether endpoints of the scope still discard a repeat of what this first attempt may have done."""
+        window = WINDOW_MARGIN * self.request_class.deduplication_window
+        is_keyed = self.request_class.idempotency is Idempotency.KEYED
+        return is_keyed and now - first.started_at < window
 
     def is_safe_to_repeat(self) -> bool:
         """Whether the client may repeat the request without harm, whatever its attempts have done."""
@@ -58,3 +79,8 @@
         """Return the cancellations of all open attempts but the spared one, where they are permitted."""
         numbered = enumerate(self.attempts) if self.limits.cancel else ()
         return [CancelAttempt(self.id, n) for n, attempt in numbered if attempt.is_open and n != spared]
+
+
+def _place(endpoint: Endpoint, scope: DeduplicationScope) -> int:
+    """Return the zone or cell whose endpoints discard each other's repeats."""
+    return endpoint.zone if scope is DeduplicationScope.ZONE else endpoint.cell
--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -18,11 +18,22 @@
 from balancer.endpoint_state import AttemptState, EndpointState
 from balancer.endpoints import Endpoint, UpdateKind
 from balancer.errors import InvalidValueError
-from balancer.events import NEVER_RAN, Action, Fail, Outcome, Reject, RequestId, StartAttempt
+from balancer.events import (
+    NEVER_RAN,
+    Action,
+    Fail,
+    Outcome,
+    Reject,
+    RejectReason,
+    RequestId,
+    SendRefusal,
+    StartAttempt,
+)
 from balancer.hedging import Hedging
 from balancer.latency_statistics import LatencyStatistics
 from balancer.pool_assignment import PoolAssignment
 from balancer.retry_budget import RetryBudgets
+from balancer.send_permission import send_refusal
 from balancer.settings import Settings, narrow_class, narrow_limits
 from balancer.slow_start import SlowStart
 from balancer.subsetting import Subsetting, ready_ring
@@ -101,19 +112,22 @@
         pool.record_request(now)
         if now >= self.subsetting.resize_at:
             self.subsetting.resize(now, self.assignment.pools)
-        actions: list[Action] = []
-        if self._admits(now, request, tenant):
-            # All endpoints but the warming ones stand in for a dead subset: other subsets share the budget.
-            actions = self._dispatch(now, request, pool.subset) or self._dispatch(now, request, pool.ready)
-        return actions or self._answer(now, request)
+        rejection = self._rejection(now, request, tenant)
+        if rejection is not None:
+            return self._answer(now, request, rejection)
+        # All endpoints but the warming ones stand in for a dead subset: other subsets share the budget.
+        actions = self._dispatch(now, request, pool.subset) or self._dispatch(now, request, pool.ready)
+        return actions or self._answer(now, request, RejectReason.NO_ENDPOINT)
 
-    def _admits(self, now: float, request: RequestState, tenant: int) -> bool:
-        """Whether to admit a request; heavy work, or a caller with little time left, may not end in time."""
+    def _rejection(self, now: float, request: RequestState, tenant: int) -> RejectReason | None:
+        """Return why not to admit a request: heavy work, or with little time left, may not end in time."""
         in_time = now + self.statistics.min_latency(request.cost) < request.useful_until
         if not in_time:
             self.statistics.record_rejection()
         within_quota = self.tenant_quotas.take_token(now, tenant)
-        return in_time and self.admission.admits(now, request.pool, request.class_index, within_quota)
+        if not in_time:
+            return RejectReason.NO_TIME
+        return self.admission.rejection(now, request.pool, request.class_index, within_quota)
 
     def _dispatch(self, now: float, request: RequestState, endpoints: list[EndpointState]) -> list[Action]:
         """Start an attempt at the best candidate whose breaker lets it through; no actions if none does."""
@@ -129,7 +143,7 @@
             target.warmup_tokens -= 1.0
         if request.attempts:
             self.retry_budgets.next_attempt(request.open_attempts).record_retry(now)
-        attempt = AttemptState(target, now)
+        attempt = AttemptState(target, target.endpoint, now)
         target.in_flight[attempt] = None
         pool = request.pool
         pool.sent_rate.add(now)
@@ -140,6 +154,19 @@
         hedge = self.hedging.schedule(now, request, attempt) if request.open_attempts == 1 else []
         return [StartAttempt(request.id, target.endpoint.id, timeout), *hedge]
 
+    def send_refusal(
+        self, now: float, request_id: RequestId, number: int, client_gone: bool = False
+    ) -> SendRefusal | None:
+        """Return why an attempt may not be written to its endpoint now; None if it may.
+
+        Call this just before the first byte, after whatever the attempt had to wait for, and report a refused
+        attempt as finished with `Outcome.NOT_SENT`.
+        """
+        if client_gone:
+            return SendRefusal.CLIENT_GONE
+        request = self.requests.get(request_id)
+        return SendRefusal.REQUEST_ENDED if request is None else send_refusal(now, request, number)
+
     def on_response_started(self, _now: float, request_id: RequestId, number: int) -> list[Action]:
         """Bind a request of a streamed class to the attempt whose response has begun."""
         request = self.requests.get(request_id)
@@ -212,7 +239,9 @@
         request = self.requests.get(request_id)
         return [] if request is None or request.answered else self._finish(request)
 
-    def _answer(self, now: float, request: RequestState) -> list[Action]:
+    def _answer(
+        self, now: float, request: RequestState, reason: RejectReason = RejectReason.ATTEMPTS_FAILED
+    ) -> list[Action]:
         """Give the final answer: rejected where it may be repeated without harm, else failed."""
         # Admission goes by failures from load alone, not by malformed answers or an endpoint's own faults:
         # rejecting work does not cure them. It can do harm: an overloaded tier that fails fast, as proxies
@@ -220,7 +249,7 @@
         if any(attempt.overloaded for attempt in request.attempts):
             request.pool.breaker.record_failure(now)
         if request.is_safe_to_repeat():
-            return [Reject(request.id, self.admission.retry_after()), *self._finish(request)]
+            return [Reject(request.id, self.admission.retry_after(), reason), *self._finish(request)]
         return [Fail(request.id), *self._finish(request)]
 
     def _finish(self, request: RequestState) -> list[Action]:
--- a/balancer/endpoint_state.py
+++ b/balancer/endpoint_state.py
@@ -14,6 +14,7 @@
     """One attempt of a request, at one endpoint."""
 
     target: "EndpointState"
+    endpoint: Endpoint  # as it was listed when the attempt was started
     started_at: float
     is_open: bool = True
     may_have_run: bool = True  # until its outcome proves otherwise
--- a/balancer/events.py
+++ b/balancer/events.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from balancer.endpoints import EndpointId
@@ -35,6 +35,30 @@
 NEVER_RAN = frozenset({Outcome.OVERLOADED, Outcome.UNREACHABLE, Outcome.NOT_SENT})
 
 
+class SendRefusal(Enum):
+    """Why an attempt that was started may not be written to its endpoint any more."""
+
+    CLIENT_GONE = "client_gone"
+    REQUEST_ENDED = "request_ended"
+    DEADLINE_PASSED = "deadline_passed"
+    ENDPOINT_NOT_IN_SERVICE = "endpoint_not_in_service"
+    ENDPOINT_RESTARTED = "endpoint_restarted"
+    MISPLACED = "misplaced"
+    HEDGING_FORBIDDEN = "hedging_forbidden"
+    REPEAT_FORBIDDEN = "repeat_forbidden"
+
+
+class RejectReason(Enum):
+    """Why a request is rejected."""
+
+    NO_TIME = "no_time"  # it can't be served in the time that is left
+    PENDING = "pending"  # too many requests are pending for what is served
+    LATENCY = "latency"  # shed by chance, as latency has left its baseline
+    THROTTLED = "throttled"  # shed by chance, as requests fail
+    NO_ENDPOINT = "no_endpoint"  # there is none, or the breakers let nothing through
+    ATTEMPTS_FAILED = "attempts_failed"  # each attempt failed, and none may follow
+
+
 @dataclass(slots=True)
 class StartAttempt:
     """Send the request to an endpoint; `timeout` 0 means until the client gives up."""
@@ -50,6 +74,7 @@
 
     request: RequestId
     retry_after: float = 0.0
+    reason: RejectReason = field(default=RejectReason.ATTEMPTS_FAILED, compare=False)  # for the log
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/balancer/send_permission.py
@@ -0,0 +1,36 @@
+"""Send permission: whether an attempt may still be written to its endpoint, asked just before its first byte.
+
+An attempt may wait for a connection after it was decided. What allowed it then may have changed since: this
+is the one place that says whether all of it still holds. What follows from a refusal `balancer` decides.
+"""
+
+from balancer.attempts import RequestState
+from balancer.endpoints import EndpointStatus
+from balancer.events import SendRefusal
+
+
+def send_refusal(now: float, request: RequestState, number: int) -> SendRefusal | None:
+    """Return why an attempt may not be written now; None if it may.
+
+    Args:
+        now: The time.
+        request: The request, narrowed by all settings since it was admitted.
+        number: The attempt, one of the request's.
+    """
+    attempt = request.attempts[number]
+    current = attempt.target.endpoint
+    if request.answered or not attempt.is_open:
+        return SendRefusal.REQUEST_ENDED
+    if now >= request.deadline:
+        return SendRefusal.DEADLINE_PASSED
+    if current.status is not EndpointStatus.UP:
+        return SendRefusal.ENDPOINT_NOT_IN_SERVICE
+    if current.started != attempt.endpoint.started:
+        return SendRefusal.ENDPOINT_RESTARTED
+    if not request.pool.allows(current):
+        return SendRefusal.MISPLACED
+    if request.has_other_open_attempt(number) and not request.limits.hedging:
+        return SendRefusal.HEDGING_FORBIDDEN
+    if not request.allows_repeat(now, current, number):
+        return SendRefusal.REPEAT_FORBIDDEN
+    return None
--- a/proxy/dispatcher.py
+++ b/proxy/dispatcher.py
@@ -20,6 +20,7 @@
     Outcome,
     PollEndpoints,
     Reject,
+    SendRefusal,
     SetTimer,
     StartAttempt,
 )
@@ -222,14 +223,23 @@
             active.serialize,
             partial(self._on_attempt_finished, active, len(active.attempts)),
             active.is_retryable,
-            active.is_awaited,
+            partial(self._send_refusal, active, len(active.attempts)),
         )
         active.attempts.append(attempt)
-        if attempt.is_wanted():
+        if active.is_awaited():
             self._pool.start(attempt)
         else:
             self._on_client_disconnected(active)
 
+    def _send_refusal(self, active: ActiveRequest, number: int) -> SendRefusal | None:
+        """Return why an attempt may not be written now; a defect of the decisions counts as a refusal."""
+        client_gone = not active.is_awaited()
+        try:
+            return self._balancer.send_refusal(self._clock.now(), active.request_id, number, client_gone)
+        except Exception:  # noqa: BLE001 - a defect of the decisions must not end the other requests
+            self._traceback_log.write(self._loop.time())
+            return SendRefusal.REQUEST_ENDED
+
     # ---- answers -------------------------------------------------------------------------------
 
     def _answer(self, active: ActiveRequest, status: int, head: bytes, body: bytes) -> None:
--- a/proxy/upstream/attempt.py
+++ b/proxy/upstream/attempt.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from balancer.events import Outcome
+from balancer.events import Outcome, SendRefusal
 from proxy.upstream.backend import Backend
 from proxy.upstream.response_parser import UpstreamResponse
 
@@ -34,7 +34,7 @@
         deadline: The loop's time until which its response is waited for.
         build_request: Gives the request's bytes, from the seconds that are left for it.
         retryable: Whether the request may be sent again if this attempt fails.
-        is_wanted: Tells whether the request's client is still there.
+        send_refusal: Tells why the request may not be written any more; asked just before its first byte.
         finished: Whether the outcome has been reported.
         connection: What carries it, once its request has been written there and until it finishes.
         connect_task: What waits for a connection, while there is none.
@@ -49,8 +49,8 @@
         "connection",
         "deadline",
         "finished",
-        "is_wanted",
         "retryable",
+        "send_refusal",
         "started_at",
     )
 
@@ -62,14 +62,14 @@
         build_request: Callable[[float], bytes],
         on_finished: FinishCallback,
         retryable: bool = True,
-        is_wanted: Callable[[], bool] = lambda: True,
+        send_refusal: Callable[[], SendRefusal | None] = lambda: None,
     ) -> None:
         self.backend = backend
         self.started_at = started_at
         self.deadline = deadline
         self.build_request = build_request
         self.retryable = retryable
-        self.is_wanted = is_wanted
+        self.send_refusal = send_refusal
         self.finished = False
         self.connection: UpstreamConnection | None = None
         self.connect_task: asyncio.Task[None] | None = None
--- a/proxy/upstream/connection_pool.py
+++ b/proxy/upstream/connection_pool.py
@@ -166,12 +166,12 @@
 
     def _send(self, attempt: UpstreamAttempt, connection: UpstreamConnection) -> None:
         """Write the request, if the attempt may still go out."""
-        # While the connection was dialled or rested, the deadline may have passed, the client left, or the
-        # backend been drained or replaced.
+        # While the connection was dialled or rested, what allowed the attempt may have changed: the decisions
+        # say whether it may still go. Whose connection this is, only the pool knows.
         time_left = attempt.deadline - self._loop.time()
         backend = attempt.backend
         stale = time_left <= 0.0 or not backend.in_service or connection.incarnation != backend.incarnation
-        if attempt.finished or stale or not attempt.is_wanted():
+        if attempt.finished or stale or attempt.send_refusal() is not None:
             self.release(connection)
             self._loop.call_soon(attempt.finish, Outcome.NOT_SENT)
             return
--- a/tests/test_retry_races.py
+++ b/tests/test_retry_races.py
@@ -23,6 +23,7 @@
 
 from balancer.settings import Settings
 from balancer.settings_reader import read_settings
+from proxy.upstream.connection_pool import REST_AFTER_RESPONSE
 
 ERROR_RESPONSE = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
 WINDOW = 1.0  # seconds in which backends discard the repeat of a keyed request
@@ -92,7 +93,8 @@
         response = await clock.wait_for(client.response())
         assert sum(backend.received.qsize() for backend in backends) == 1
         assert status_of(response) in (502, 503)
-        # The connection that was dialled is kept for requests that may still use it.
+        # The connection that was dialled serves requests that may use it, once it has rested.
+        await clock.advance(REST_AFTER_RESPONSE)
         assert status_of(await clock.wait_for(client.request(post_request(2)))) == 200
 
 
