Take a backend's orderly end for the end of a response without a length

Seen: a whole 200 that has neither Content-Length nor chunks, ended by the backend's FIN, was answered 502 (POST, though it had run) or 503 after a retry (GET); none was ever forwarded, where half of those that come whole have to be.

Cause: the parser waits for an end that only the connection can give, and `UpstreamConnection` had no `eof_received`: each end of a connection failed its attempt.

Ruled out: the stall limit of 0.1 s (a body in one piece with its FIN failed the same way); the size limits.

Change: an orderly end completes a response whose head names no framing; a reset, or an end inside a head, a chunk or a stated length, fails the attempt as before.

--- a/proxy/upstream/connection.py
+++ b/proxy/upstream/connection.py
@@ -109,6 +109,12 @@
         elif parser.receiving:
             attempt.on_response_progress(self._pool.now())
 
+    def eof_received(self) -> None:
+        """The backend has ended its sending in order: that ends a response without a length, and no other."""
+        attempt = self._attempt
+        if attempt is not None and self._parser.end_of_input() is ResponseState.COMPLETE:
+            self._finish_attempt(attempt)
+
     def _finish_attempt(self, attempt: UpstreamAttempt) -> None:
         """Release the connection if it can carry another attempt, and report the response."""
         response = self._parser.take_response()
--- a/proxy/upstream/response_parser.py
+++ b/proxy/upstream/response_parser.py
@@ -85,6 +85,7 @@
         self._body_parts: list[bytes] = []
         self._connection_options = b""  # the values of Connection headers, each after a comma
         self._not_processed = False
+        self._is_framed = False  # whether its headers say where its body ends
         self._bytes_before_body = 0  # fed until the head was complete
         self._header_bytes = 0
         self._body_bytes = 0
@@ -105,6 +106,16 @@
                 self.state = UNUSABLE
         return self.state
 
+    def end_of_input(self) -> ResponseState:
+        """Take the orderly end of the connection, which is the end of a body that has no other one.
+
+        A reset is none: whoever sees one must not call this.
+        """
+        if self.state is BODY and not self._is_framed:
+            self.keep_alive = False
+            self._complete()
+        return self.state
+
     def take_response(self) -> UpstreamResponse:
         """Return the complete response, once."""
         response = self._response
@@ -143,9 +154,11 @@
         elif lower == b"connection":
             self._connection_options += b"," + value.lower()
         elif lower == b"content-length":
+            self._is_framed = True
             if int(value) > MAX_RESPONSE_BODY_BYTES:
                 self.state = UNUSABLE
         elif lower == b"transfer-encoding":
+            self._is_framed = True
             if value.lower() != b"chunked":
                 self.state = UNUSABLE
         # A load report is for the proxy alone, and clients may be unable to read what is no plain text.
@@ -188,14 +201,18 @@
             self.receiving = False
             self._header_lines.clear()
             self._connection_options = b""
+            self._is_framed = False
         elif self.state is BODY:
-            self.state = COMPLETE
             self.keep_alive = self._http_parser.should_keep_alive()
-            self._response = UpstreamResponse(
-                self._http_parser.get_status_code(),
-                b"".join(self._header_lines),
-                b"".join(self._body_parts),
-                self._not_processed,
-            )
-            self._body_parts.clear()
-            self._release_memory()
+            self._complete()
+
+    def _complete(self) -> None:
+        self.state = COMPLETE
+        self._response = UpstreamResponse(
+            self._http_parser.get_status_code(),
+            b"".join(self._header_lines),
+            b"".join(self._body_parts),
+            self._not_processed,
+        )
+        self._body_parts.clear()
+        self._release_memory()
