Keep a reload signal that comes before the process can reload

Seen: SIGHUP in the first 0.05 s after a start ends the process by the signal (a probe with one process each: killed at 0, 20 and 50 ms, alive from 100 ms on); where the configuration is read just then, as it waits in a named pipe, always. A release that restarts proxies while a new configuration goes out to the fleet meets it.

Cause: SIGHUP had its default action, to end the process, until `serve` ran: through the shell, the interpreter's start, the imports and the reading of the file.

Ruled out: SIGTERM in the same time (a process that ends by it has not crashed, and has taken nothing yet).

Change: `run` ignores the signal until the program's first lines note it (`proxy/early_signal.py`), before the long imports and before the file is read; a signal noted leads to one reload once there is a proxy. `__main__` holds only that, the rest of it is `proxy/process.py`. The emulator reads the program's words behind `exec`, whatever stands before.

--- a/emulator/proxy_program.py
+++ b/emulator/proxy_program.py
@@ -85,11 +85,12 @@
 
 
 def _words(run: str, root: Path) -> list[str]:
-    """Split a command into its words, without the shell's `exec`."""
+    """Split a command into the words of the program that the shell becomes by `exec`."""
     try:
-        return [word for word in shlex.split(run) if word != "exec"]
+        words = shlex.split(run)
     except ValueError as error:
         raise ProgramError(f"{root / DEPLOY_FILE}: run can't be read: {error}") from error
+    return words[words.index("exec") + 1 :] if "exec" in words else words
 
 
 def _module(words: list[str], root: Path) -> str:
--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -1,59 +1,22 @@
 """Starts a proxy: `python -m proxy`, with the configuration that the environment names.
 
-Owns the process: its signals, its exit codes, and the garbage collector. Owns nothing of what the proxy does.
+It imports the program only once reload signals are kept: that import takes long, and they may come meanwhile.
 """
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import os
 import signal
 import sys
 
-from proxy.config import Config, ConfigError, load
-from proxy.discovery.endpoint_reader import EndpointReader
-from proxy.proxy import Proxy
-
-EXIT_OK = 0
-EXIT_CAN_NOT_LISTEN = 1
-EXIT_BAD_CONFIG = 2
-
-
-async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT, then shut down gracefully."""
-    loop = asyncio.get_running_loop()
-    termination_requested = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, termination_requested.set)
-    proxy = Proxy(config)
-    loop.add_signal_handler(signal.SIGHUP, proxy.reloader.reload, os.environ)
-    proxy.listener.bind()
-    # Backends may have begun to drain before this process started: discovery knows, and the list that the
-    # configuration names may not. So connections wait in the accept queue until discovery's list has come.
-    await proxy.endpoints_loaded.wait()
-    listening_socket = await proxy.listener.listen()
-    # What is there now stays: the garbage collector need not look at it again.
-    gc.collect()
-    gc.freeze()
-    await termination_requested.wait()
-    await proxy.shutdown.run(listening_socket)
+from proxy.early_signal import EarlySignal
 
 
 def main() -> int:
     """Run a proxy and return the process's exit code."""
-    try:
-        config = load(os.environ)
-        EndpointReader(config.zone_indices, config.machine_type_indices).check(config.cached_list)
-    except ConfigError as fault:
-        print(f"proxy: {fault}", file=sys.stderr)
-        return EXIT_BAD_CONFIG
-    try:
-        asyncio.run(serve(config))
-    except OSError as fault:
-        print(f"proxy: {config.listen}: {fault}", file=sys.stderr)
-        return EXIT_CAN_NOT_LISTEN
-    return EXIT_OK
+    hangup = EarlySignal(signal.SIGHUP)
+    from proxy import process
+
+    return process.run(hangup)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/proxy/process.py
@@ -0,0 +1,64 @@
+"""The process of one proxy, from its configuration to its exit code.
+
+Owns the process: its signals, its exit codes, and the garbage collector. Owns nothing of what the proxy does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+from proxy.config import Config, ConfigError, load
+from proxy.discovery.endpoint_reader import EndpointReader
+from proxy.early_signal import EarlySignal
+from proxy.proxy import Proxy
+
+EXIT_OK = 0
+EXIT_CAN_NOT_LISTEN = 1
+EXIT_BAD_CONFIG = 2
+
+
+async def serve(config: Config, hangup: EarlySignal | None = None) -> None:
+    """Run until SIGTERM or SIGINT, then shut down gracefully.
+
+    Args:
+        config: The configuration.
+        hangup: Whether a reload was asked for while the process started; the file may have changed since.
+    """
+    loop = asyncio.get_running_loop()
+    termination_requested = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, termination_requested.set)
+    proxy = Proxy(config)
+    loop.add_signal_handler(signal.SIGHUP, proxy.reloader.reload, os.environ)
+    if hangup is not None and hangup.was_received:
+        proxy.reloader.reload(os.environ)
+    proxy.listener.bind()
+    # Backends may have begun to drain before this process started: discovery knows, and the list that the
+    # configuration names may not. So connections wait in the accept queue until discovery's list has come.
+    await proxy.endpoints_loaded.wait()
+    listening_socket = await proxy.listener.listen()
+    # What is there now stays: the garbage collector need not look at it again.
+    gc.collect()
+    gc.freeze()
+    await termination_requested.wait()
+    await proxy.shutdown.run(listening_socket)
+
+
+def run(hangup: EarlySignal | None = None) -> int:
+    """Run a proxy and return the process's exit code; `hangup` is as for `serve`."""
+    try:
+        config = load(os.environ)
+        EndpointReader(config.zone_indices, config.machine_type_indices).check(config.cached_list)
+    except ConfigError as fault:
+        print(f"proxy: {fault}", file=sys.stderr)
+        return EXIT_BAD_CONFIG
+    try:
+        asyncio.run(serve(config, hangup))
+    except OSError as fault:
+        print(f"proxy: {config.listen}: {fault}", file=sys.stderr)
+        return EXIT_CAN_NOT_LISTEN
+    return EXIT_OK
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,8 +11,8 @@
 from config_files import BAD_FILES, file_with, file_with_settings, raw_config
 from proxy_inputs import HOST
 
-from proxy.__main__ import main
 from proxy.config import ConfigError, load
+from proxy.process import run
 
 
 @pytest.mark.parametrize("content", BAD_FILES.values(), ids=BAD_FILES)
@@ -22,7 +22,7 @@
     config_path.write_bytes(content)
     with pytest.raises(ConfigError):
         load(os.environ)
-    assert main() == 2
+    assert run() == 2
     [line] = log_lines()
     assert line.startswith(f"proxy: {config_path}: " if "is not an address" not in line else "proxy: ")
 
--- a/tests/test_emulator_proxy_program.py
+++ b/tests/test_emulator_proxy_program.py
@@ -31,8 +31,9 @@
         ProxyProgram.of_tree(tmp_path)
 
 
-def test_a_tree_that_is_not_built_is_refused_by_the_name_of_its_build(tmp_path: Path) -> None:
-    write_deploy_file(tmp_path, 'build = "make venv"\n' + RUN)
+@pytest.mark.parametrize("run", [RUN, RUN.replace("exec", "trap '' HUP; exec")])
+def test_a_tree_that_is_not_built_is_refused_by_the_name_of_its_build(run: str, tmp_path: Path) -> None:
+    write_deploy_file(tmp_path, 'build = "make venv"\n' + run)
     with pytest.raises(ProgramError, match=r"has no \.venv/bin/python: build it .* by make venv"):
         ProxyProgram.of_tree(tmp_path)
 
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -32,8 +32,8 @@
 )
 
 from balancer.settings_reader import read_settings
-from proxy.__main__ import serve
 from proxy.config import Address
+from proxy.process import serve
 
 READINESS_DEADLINE = 10.0  # seconds in which nine in ten proxies have to be ready
 READY_SHARE = 0.9
