--- a/proxy/active_request.py
+++ b/proxy/active_request.py
@@ -26,6 +26,7 @@
         request: What the client sent.
         request_class: Its class when it was admitted, narrowed by later settings.
         connection: The client's connection; None once no answer is due any more.
+        client_deadline: The event loop's time until which the client waits.
         deadline: The event loop's time by which the answer has to be written.
         attempts: All its attempts, in the order in which they were started.
         last_outcome: How its latest attempt ended.
@@ -34,6 +35,7 @@
 
     __slots__ = (
         "attempts",
+        "client_deadline",
         "client_request_id",
         "connection",
         "deadline",
@@ -50,6 +52,7 @@
         request: ClientRequest,
         request_class: RequestClass,
         connection: DownstreamConnection,
+        client_deadline: float,
         deadline: float,
     ) -> None:
         self.request_id = request_id
@@ -57,6 +60,7 @@
         self.request = request
         self.request_class = request_class
         self.connection: DownstreamConnection | None = connection
+        self.client_deadline = client_deadline
         self.deadline = deadline
         self.attempts: list[UpstreamAttempt] = []
         self.last_outcome = Outcome.NOT_SENT
--- a/proxy/dispatcher.py
+++ b/proxy/dispatcher.py
@@ -32,6 +32,8 @@
 from proxy.downstream.errors import HttpError
 from proxy.downstream.request_parser import ClientRequest
 from proxy.endpoint_table import EndpointTable
+from proxy.event_log import Event, EventLog
+from proxy.invariants import InvariantMonitor
 from proxy.log import TracebackLog
 from proxy.upstream import ConnectionPool, UpstreamAttempt, UpstreamResponse
 
@@ -57,6 +59,8 @@
         endpoint_table: EndpointTable,
         pool: ConnectionPool,
         poll_endpoints: Callable[[], None],
+        monitor: InvariantMonitor,
+        event_log: EventLog,
     ) -> None:
         """Prepare for requests.
 
@@ -66,6 +70,8 @@
             endpoint_table: The backends that attempts go to.
             pool: Sends the attempts.
             poll_endpoints: Asks discovery for the endpoint list.
+            monitor: Checks what is written and answered.
+            event_log: Takes what happens to each request.
         """
         self._loop = asyncio.get_running_loop()
         self._balancer = balancer
@@ -73,6 +79,8 @@
         self._endpoint_table = endpoint_table
         self._pool = pool
         self._poll_endpoints = poll_endpoints
+        self._monitor = monitor
+        self._event_log = event_log
         self._traceback_log = TracebackLog()
         self._last_request_number = 0
         self.active_requests: dict[str, ActiveRequest] = {}
@@ -102,10 +110,14 @@
             # Backends would take a second request with the same id for the first one.
             raise HttpError(409, "a request with this id is open")
         self.client_request_ids.add(client_request_id)
-        deadline = min(request.received_at + classified.timeout, self.answer_by) - ANSWER_MARGIN
+        client_deadline = request.received_at + classified.timeout
+        deadline = min(client_deadline, self.answer_by) - ANSWER_MARGIN
         self._last_request_number += 1
         request_id = str(self._last_request_number)
-        active = ActiveRequest(request_id, request, classified.request_class, connection, deadline)
+        active = ActiveRequest(
+            request_id, request, classified.request_class, connection, client_deadline, deadline
+        )
+        self._log(Event.REQUEST_TAKEN, active, class_name=classified.request_class.name, deadline=deadline)
         self.active_requests[request_id] = active
         connection.on_disconnect = partial(self._on_client_disconnected, active)
         active.deadline_timer = self._loop.call_at(deadline, self._on_deadline, active)
@@ -124,6 +136,7 @@
 
     def _on_client_disconnected(self, active: ActiveRequest) -> None:
         """End a request whose client has disconnected: no answer is due any more."""
+        self._log(Event.CLIENT_LEFT, active)
         self._settle(active)
         self.perform(self._decide(self._balancer.on_client_disconnected, active.request_id, about=active))
         self._end_unsent_attempts(active)
@@ -146,6 +159,7 @@
         """Answer if the end of an attempt brings the answer, and tell the decisions of it."""
         now = self._loop.time()
         active.last_outcome = outcome
+        self._log(Event.ATTEMPT_FINISHED, active, attempt=number, outcome=outcome.value)
         if response is not None and response.status in REQUEST_FAULT_STATUSES:
             # It would fail at any other backend as well: a retry would only add load.
             self._answer(active, response.status, b"", b"rejected\n")
@@ -208,7 +222,7 @@
             active.attempts[action.attempt].finish(Outcome.CANCELLED)
         elif isinstance(action, Reject):
             head = b"Retry-After: %.3f\r\n" % action.retry_after if action.retry_after > 0.0 else b""
-            self._answer(active, 503, head, b"refused\n")
+            self._answer(active, 503, head, b"refused\n", action.reason.value)
         else:
             status = 504 if active.last_outcome is Outcome.TIMEOUT else 502
             self._answer(active, status, b"", b"failed\n")
@@ -224,6 +238,10 @@
             partial(self._on_attempt_finished, active, len(active.attempts)),
             active.is_retryable,
             partial(self._send_refusal, active, len(active.attempts)),
+            partial(self._on_written, active),
+        )
+        self._log(
+            Event.ATTEMPT_STARTED, active, attempt=len(active.attempts), endpoint=str(attempt.backend.address)
         )
         active.attempts.append(attempt)
         if active.is_awaited():
@@ -235,16 +253,34 @@
         """Return why an attempt may not be written now; a defect of the decisions counts as a refusal."""
         client_gone = not active.is_awaited()
         try:
-            return self._balancer.send_refusal(self._clock.now(), active.request_id, number, client_gone)
+            refusal = self._balancer.send_refusal(self._clock.now(), active.request_id, number, client_gone)
         except Exception:  # noqa: BLE001 - a defect of the decisions must not end the other requests
             self._traceback_log.write(self._loop.time())
-            return SendRefusal.REQUEST_ENDED
+            refusal = SendRefusal.REQUEST_ENDED
+        if refusal is not None:
+            self._log(Event.ATTEMPT_REFUSED, active, attempt=number, reason=refusal.value)
+        return refusal
+
+    def _on_written(self, active: ActiveRequest, attempt: UpstreamAttempt, timeout: float) -> None:
+        """Check and log an attempt that was just written."""
+        self._monitor.on_written(active, attempt, timeout)
+        if self._event_log.enabled:
+            number = active.attempts.index(attempt)
+            self._log(Event.ATTEMPT_WRITTEN, active, attempt=number, timeout=timeout)
+
+    def _log(self, event: Event, active: ActiveRequest, **fields: object) -> None:
+        """Log an event of one request."""
+        if self._event_log.enabled:
+            self._event_log.record(event, id=active.client_request_id.decode("latin-1"), **fields)
 
     # ---- answers -------------------------------------------------------------------------------
 
-    def _answer(self, active: ActiveRequest, status: int, head: bytes, body: bytes) -> None:
+    def _answer(self, active: ActiveRequest, status: int, head: bytes, body: bytes, reason: str = "") -> None:
         """Give the final answer, if one is still due."""
         connection = active.connection
+        if connection is not None:
+            self._monitor.on_answered(active, status)
+            self._log(Event.ANSWERED, active, status=status, reason=reason)
         self._settle(active)
         if connection is not None:
             connection.send_response(status, head, body)
--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -16,10 +16,21 @@
 
 from proxy.downstream import eviction
 from proxy.downstream.classification import classify
-from proxy.downstream.connection_state import CLOSED, CLOSING, IDLE, NEW, READING, SERVING, ConnectionState
+from proxy.downstream.connection_state import (
+    CLOSED,
+    CLOSING,
+    IDLE,
+    NEW,
+    READING,
+    SERVING,
+    CloseReason,
+    ConnectionState,
+)
 from proxy.downstream.errors import HttpError
 from proxy.downstream.request_parser import ClientRequest, RequestParser
 from proxy.downstream.response_writer import encode_response
+from proxy.event_log import Event
+from proxy.invariants import Invariant
 
 if TYPE_CHECKING:
     from proxy.downstream.listener import Listener
@@ -107,16 +118,36 @@
         elif state is CLOSED:
             self._connections.open.discard(self)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close the connection once what is written is out."""
+        self._record_close(reason)
         self._enter(CLOSING, self._loop.time() + eviction.CLOSING_TIMEOUT)
         self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close the connection at once."""
+        self._record_close(reason)
         self._enter(CLOSED)
         self._transport.abort()
 
+    def _record_close(self, reason: CloseReason) -> None:
+        """Log why the proxy ends the connection, and report requests that were read and get no answer."""
+        log = self._listener.event_log
+        if log.enabled:
+            unwritten = self._transport.get_write_buffer_size()
+            log.record(
+                Event.CONNECTION_CLOSED,
+                reason=reason,
+                state=self._state.name,
+                queued=len(self._queue),
+                unwritten=unwritten,
+                peer=str(self._transport.get_extra_info("peername")),
+            )
+        for request in self._queue:
+            if isinstance(request, ClientRequest):
+                request_id = request.headers.get(b"x-request-id", b"")
+                self._listener.monitor.report(Invariant.DROPPED_UNANSWERED, request_id)
+
     def has_disconnected(self) -> bool:
         """Return whether the client has closed its connection, whether or not that was read yet.
 
@@ -177,7 +208,7 @@
         """
         self._discarded_bytes += nbytes
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
-            self.abort()
+            self.abort(CloseReason.FLOOD)
 
     def _enforce_buffer_limits(self) -> None:
         """Reject the connection's input where it holds too much memory or too many requests.
@@ -251,6 +282,7 @@
         """
         self.on_disconnect = None
         self._input_ended = True
+        self._record_close(CloseReason.REJECTED)
         self._queue.clear()
         self._account_for(0)
         body = error.reason.encode() + b"\n"
@@ -270,8 +302,8 @@
         keep_alive = self._keep_alive and self._may_go_on()
         self._transport.write(encode_response(status, headers, body, keep_alive))
         if not keep_alive:
+            self.close(CloseReason.LAST_RESPONSE)
             self._queue.clear()
-            self.close()
             return
         now = self._loop.time()
         if self._parser.reading:
--- a/proxy/downstream/connection_state.py
+++ b/proxy/downstream/connection_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 
 
 class ConnectionState(IntEnum):
@@ -27,3 +27,14 @@
 # Each state under its own name too: Python 3.11 takes several times as long to look a member up in its class,
 # and each request changes the state two or three times.
 NEW, READING, SERVING, IDLE, CLOSING, CLOSED = ConnectionState
+
+
+class CloseReason(StrEnum):
+    """Why the proxy closes a client's connection."""
+
+    EVICTED = "evicted"  # there are too many
+    TOO_LATE = "too_late"  # its state has a time limit
+    REJECTED = "rejected"  # its request is malformed or can't be taken
+    LAST_RESPONSE = "last_response"  # the client, or a shutdown, wants no further request on it
+    SHUTDOWN = "shutdown"  # it rested as the proxy began to close
+    FLOOD = "flood"  # it sends on and on behind a rejection
--- a/proxy/downstream/eviction.py
+++ b/proxy/downstream/eviction.py
@@ -10,7 +10,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from proxy.downstream.connection_state import CLOSING, IDLE, NEW, READING, ConnectionState
+from proxy.downstream.connection_state import CLOSING, IDLE, NEW, READING, CloseReason, ConnectionState
 from proxy.downstream.errors import HttpError
 
 if TYPE_CHECKING:
@@ -74,7 +74,7 @@
         for candidates in (self.closing, silent, self.idle, self.new, reading):
             for connection in candidates:
                 if connection is not newcomer:
-                    connection.abort()
+                    connection.abort(CloseReason.EVICTED)
                     return True
         return False
 
@@ -89,7 +89,7 @@
         idle_advance = IDLE_TIMEOUT - MIN_IDLE_TIMEOUT if running_short else 0.0
         for deadlines, advance in ((self.closing, 0.0), (self.new, 0.0), (self.idle, idle_advance)):
             for connection in _overdue(deadlines, now, advance):
-                connection.abort()
+                connection.abort(CloseReason.TOO_LATE)
         for connection in _overdue(self.reading, now):
             connection.reject(HttpError(408, "the request took too long"))
 
--- a/proxy/downstream/listener.py
+++ b/proxy/downstream/listener.py
@@ -15,9 +15,12 @@
 from proxy.config import Config
 from proxy.downstream.classification import ClassifiedRequest
 from proxy.downstream.connection import DownstreamConnection
+from proxy.downstream.connection_state import CloseReason
 from proxy.downstream.eviction import ConnectionRegistry
 from proxy.downstream.request_parser import ClientRequest
+from proxy.event_log import EventLog
 from proxy.http_common import READ_BUFFER_BYTES
+from proxy.invariants import InvariantMonitor
 
 BUFFERED_MEMORY_SHARE = 0.25  # of the memory limit, for incomplete bodies and requests that wait
 LISTEN_BACKLOG = 1024  # connections that may wait to be accepted
@@ -32,6 +35,8 @@
         version: The version of the configuration, as `/healthz` shows it.
         on_request: Called with each request that is to be forwarded, what the decisions need to know of it,
             and the connection to answer it on.
+        monitor: Is told of requests that a connection ends without an answer.
+        event_log: Takes why connections are closed.
         connections: All open connections and their deadlines.
         ready: Whether the endpoint list is loaded.
         serving: Whether the listener accepts connections and is to go on.
@@ -47,9 +52,13 @@
         config: Config,
         max_connections: int,
         on_request: Callable[[ClientRequest, ClassifiedRequest, DownstreamConnection], None],
+        monitor: InvariantMonitor,
+        event_log: EventLog,
     ) -> None:
         self.config = config
         self.version = config.version(1)
+        self.monitor = monitor
+        self.event_log = event_log
         self.on_request = on_request
         self.connections = ConnectionRegistry(max_connections)
         self.ready = False
@@ -114,4 +123,4 @@
         """Let each response close its connection from now on, and close those that wait for none."""
         self.closing_since = self._loop.time()
         for connection in (*self.connections.new, *self.connections.idle):
-            connection.close()
+            connection.close(CloseReason.SHUTDOWN)
--- /dev/null
+++ b/proxy/invariants.py
@@ -0,0 +1,108 @@
+"""Checks at run time that the proxy keeps its rules, where its bytes leave it.
+
+It keeps books of its own, from what was written and answered, and asks none of the parts that decide: what
+they get wrong shows here. A violation is counted and logged, and changes nothing. Owns the counts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from balancer.events import NEVER_RAN
+from balancer.settings import DeduplicationScope, Idempotency
+from proxy.event_log import Event, EventLog
+from proxy.log import write_line
+from proxy.upstream import UpstreamAttempt
+
+if TYPE_CHECKING:
+    from proxy.active_request import ActiveRequest
+
+LOG_INTERVAL = 1.0  # seconds between two lines on standard error
+TIMEOUT_SLACK = (
+    0.15  # seconds by which the timeout that a backend is told may be over what the client has left
+)
+REJECTED_STATUSES = (429, 503)  # by which a client is told that a repeat is harmless
+
+
+class Invariant(StrEnum):
+    """A rule that no event may break."""
+
+    SENT_AFTER_ANSWER = "sent_after_answer"
+    SENT_OUT_OF_SERVICE = "sent_out_of_service"
+    REPEATED_UNSAFELY = "repeated_unsafely"
+    TIMEOUT_TOO_LONG = "timeout_too_long"
+    REJECTED_UNSAFELY = "rejected_unsafely"
+    DROPPED_UNANSWERED = "dropped_unanswered"
+
+
+class InvariantMonitor:
+    """Counts violations and logs them.
+
+    Attributes:
+        violations: How often each rule was violated.
+    """
+
+    def __init__(self, event_log: EventLog) -> None:
+        self.violations: Counter[Invariant] = Counter()
+        self._event_log = event_log
+        self._logged_at = float("-inf")
+
+    def on_written(self, active: ActiveRequest, attempt: UpstreamAttempt, timeout: float) -> None:
+        """Check an attempt whose first byte was just written.
+
+        Args:
+            active: Its request.
+            attempt: The attempt.
+            timeout: The seconds that its backend was told it would be waited for.
+        """
+        if active.connection is None:
+            self.report(Invariant.SENT_AFTER_ANSWER, active.client_request_id)
+        if not attempt.backend.in_service:
+            self.report(Invariant.SENT_OUT_OF_SERVICE, active.client_request_id)
+        if timeout > active.client_deadline - asyncio.get_running_loop().time() + TIMEOUT_SLACK:
+            self.report(Invariant.TIMEOUT_TOO_LONG, active.client_request_id)
+        if not self._may_repeat(active, attempt):
+            self.report(Invariant.REPEATED_UNSAFELY, active.client_request_id)
+
+    def on_answered(self, active: ActiveRequest, status: int) -> None:
+        """Check a final answer that is about to be written."""
+        if status not in REJECTED_STATUSES:
+            return
+        request_class = active.request_class
+        keyed = request_class.idempotency is Idempotency.KEYED
+        recognised = keyed and request_class.deduplication_scope is DeduplicationScope.ALL
+        harmless = recognised or request_class.idempotency is Idempotency.IDEMPOTENT
+        if not harmless and any(_may_have_run(attempt) for attempt in active.attempts):
+            self.report(Invariant.REJECTED_UNSAFELY, active.client_request_id)
+
+    def report(self, invariant: Invariant, client_request_id: bytes) -> None:
+        """Count a violation and log it."""
+        self.violations[invariant] += 1
+        request_id = client_request_id.decode("latin-1")
+        self._event_log.record(Event.VIOLATION, rule=invariant, id=request_id)
+        now = asyncio.get_running_loop().time()
+        if now - self._logged_at >= LOG_INTERVAL:
+            self._logged_at = now
+            write_line(f"proxy: violation: {invariant}, request {request_id}")
+
+    def summary(self) -> str:
+        """Return the counts as one line of text; empty where nothing was violated."""
+        return ", ".join(f"{invariant} {count}" for invariant, count in sorted(self.violations.items()))
+
+    def _may_repeat(self, active: ActiveRequest, attempt: UpstreamAttempt) -> bool:
+        """Return whether an attempt that was just written may run, by what the others may have done."""
+        request_class = active.request_class
+        others = [other for other in active.attempts if other is not attempt and _may_have_run(other)]
+        if not others or request_class.idempotency is Idempotency.IDEMPOTENT:
+            return True
+        first_written_at = min(other.written_at or 0.0 for other in others)
+        elapsed = asyncio.get_running_loop().time() - first_written_at
+        return request_class.idempotency is Idempotency.KEYED and elapsed < request_class.deduplication_window
+
+
+def _may_have_run(attempt: UpstreamAttempt) -> bool:
+    """Return whether a backend may have processed an attempt, or may yet."""
+    return attempt.written_at is not None and attempt.outcome not in NEVER_RAN
--- a/proxy/process.py
+++ b/proxy/process.py
@@ -14,6 +14,8 @@
 from proxy.config import Config, ConfigError, load
 from proxy.discovery.endpoint_reader import EndpointReader
 from proxy.early_signal import EarlySignal
+from proxy.event_log import Event, EventLog
+from proxy.log import write_line
 from proxy.proxy import Proxy
 
 EXIT_OK = 0
@@ -32,7 +34,7 @@
     termination_requested = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, termination_requested.set)
-    proxy = Proxy(config)
+    proxy = Proxy(config, EventLog.from_environment(os.environ))
     loop.add_signal_handler(signal.SIGHUP, proxy.reloader.reload, os.environ)
     if hangup is not None and hangup.was_received:
         proxy.reloader.reload(os.environ)
@@ -45,7 +47,11 @@
     gc.collect()
     gc.freeze()
     await termination_requested.wait()
+    proxy.event_log.record(Event.SHUTDOWN)
     await proxy.shutdown.run(listening_socket)
+    if proxy.monitor.violations:
+        write_line(f"proxy: violations: {proxy.monitor.summary()}")
+    proxy.event_log.flush()
 
 
 def run(hangup: EarlySignal | None = None) -> int:
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -17,6 +17,8 @@
 from proxy.dispatcher import Dispatcher
 from proxy.downstream.listener import Listener
 from proxy.endpoint_table import EndpointTable
+from proxy.event_log import Event, EventLog
+from proxy.invariants import InvariantMonitor
 from proxy.reload import ConfigReloader
 from proxy.shutdown import GracefulShutdown
 from proxy.upstream import ConnectionPool
@@ -42,14 +44,18 @@
         listener: The clients' connections.
         shutdown: Ends the proxy.
         reloader: Takes over new configurations.
+        event_log: Takes what happens to requests and connections; off unless the environment asks for it.
+        monitor: Counts violations of the rules.
         endpoints_loaded: Set once the endpoint list has come, or nobody is there to send it.
     """
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, event_log: EventLog | None = None) -> None:
         loop = asyncio.get_running_loop()
         max_sockets = max(MIN_SOCKETS, config.max_sockets - RESERVED_SOCKETS)
         max_clients = int(CLIENT_SOCKET_SHARE * max_sockets)
         self.endpoints_loaded = asyncio.Event()
+        self.event_log = event_log or EventLog()
+        self.monitor = InvariantMonitor(self.event_log)
         self.clock = EpochClock(loop)
         self.reader = EndpointReader(config.zone_indices, config.machine_type_indices)
         self.balancer = Balancer(self.reader.settings_of(config), config.seed)
@@ -61,9 +67,17 @@
             config.discovery, self.reader, config.cached_list["index"], self.on_update
         )
         self.dispatcher = Dispatcher(
-            self.balancer, self.clock, self.endpoint_table, self.pool, self.discovery.open
+            self.balancer,
+            self.clock,
+            self.endpoint_table,
+            self.pool,
+            self.discovery.open,
+            self.monitor,
+            self.event_log,
+        )
+        self.listener = Listener(
+            config, max_clients, self.dispatcher.on_request, self.monitor, self.event_log
         )
-        self.listener = Listener(config, max_clients, self.dispatcher.on_request)
         self.shutdown = GracefulShutdown(self.listener, self.dispatcher)
         self.reloader = ConfigReloader(
             self.reader,
@@ -97,6 +111,9 @@
         self._mark_loaded()
 
     def _update_endpoints(self, kind: UpdateKind, endpoints: list[DiscoveredEndpoint]) -> None:
+        if self.event_log.enabled:
+            statuses = {str(each.address): each.endpoint.status.name for each in endpoints}
+            self.event_log.record(Event.ENDPOINTS_UPDATED, kind=kind.name, endpoints=statuses)
         self.endpoint_table.update(kind, endpoints)
         self.endpoint_table.update_idle_quota(self.balancer.settings.fleet_size)
         self.dispatcher.on_endpoints_updated(kind, [discovered.endpoint for discovered in endpoints])
--- a/proxy/upstream/attempt.py
+++ b/proxy/upstream/attempt.py
@@ -35,7 +35,10 @@
         build_request: Gives the request's bytes, from the seconds that are left for it.
         retryable: Whether the request may be sent again if this attempt fails.
         send_refusal: Tells why the request may not be written any more; asked just before its first byte.
+        on_written: Called once the request is written, with the seconds that the backend was told.
+        written_at: The loop's time at which that began; None before.
         finished: Whether the outcome has been reported.
+        outcome: The outcome, once it is reported.
         connection: What carries it, once its request has been written there and until it finishes.
         connect_task: What waits for a connection, while there is none.
     """
@@ -49,9 +52,12 @@
         "connection",
         "deadline",
         "finished",
+        "on_written",
+        "outcome",
         "retryable",
         "send_refusal",
         "started_at",
+        "written_at",
     )
 
     def __init__(
@@ -63,6 +69,7 @@
         on_finished: FinishCallback,
         retryable: bool = True,
         send_refusal: Callable[[], SendRefusal | None] = lambda: None,
+        on_written: Callable[[UpstreamAttempt, float], None] = lambda _attempt, _timeout: None,
     ) -> None:
         self.backend = backend
         self.started_at = started_at
@@ -70,7 +77,10 @@
         self.build_request = build_request
         self.retryable = retryable
         self.send_refusal = send_refusal
+        self.on_written = on_written
+        self.written_at: float | None = None
         self.finished = False
+        self.outcome: Outcome | None = None
         self.connection: UpstreamConnection | None = None
         self.connect_task: asyncio.Task[None] | None = None
         self._on_finished = on_finished
@@ -87,6 +97,7 @@
         if self.finished:
             return
         self.finished = True
+        self.outcome = outcome
         if self._timer is not None:
             self._timer.cancel()
         if self.connect_task is not None:
--- a/proxy/upstream/connection_pool.py
+++ b/proxy/upstream/connection_pool.py
@@ -179,7 +179,9 @@
             connection.abort()
             attempt.finish(Outcome.UNREACHABLE)
             return
+        attempt.written_at = self._loop.time()
         connection.send(attempt, attempt.build_request(time_left))
+        attempt.on_written(attempt, time_left)
 
     # ---- idle connections ----------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_event_log.py
@@ -0,0 +1,76 @@
+"""The event log: what it says of one request, and that it drops lines rather than wait."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from loopback import RunningProxy, in_event_loop, respond_ok, stub_backend
+from proxy_inputs import endpoint_entry, get_request, proxy_config, status_of
+
+from proxy.event_log import VARIABLE, Event, EventLog
+from proxy.proxy import Proxy
+
+
+def read_events(path: Path) -> list[dict[str, Any]]:
+    """Return the lines of a log."""
+    return [orjson.loads(line) for line in path.read_bytes().splitlines()]
+
+
+@in_event_loop
+async def test_log_shows_the_way_of_a_request(tmp_path: Path) -> None:
+    path = tmp_path / "events"
+    log = EventLog.from_environment({VARIABLE: str(path)})
+    async with stub_backend(respond_ok) as backend:
+        proxy = Proxy(proxy_config([endpoint_entry("a", backend.address)]), log)
+        sock = await proxy.listener.listen()
+        client = await RunningProxy(proxy, sock.getsockname()[1]).connect()
+        assert status_of(await client.request(get_request())) == 200
+        log.flush()
+        events = [event for event in read_events(path) if event.get("id") == "id1"]
+        assert [event["event"] for event in events] == [
+            Event.REQUEST_TAKEN,
+            Event.ATTEMPT_STARTED,
+            Event.ATTEMPT_WRITTEN,
+            Event.ATTEMPT_FINISHED,
+            Event.ANSWERED,
+        ]
+        assert events[1]["endpoint"] == backend.address
+        assert events[-1]["status"] == 200
+        await proxy.listener.stop_listening(sock)
+        proxy.listener.stop_keepalive()
+
+
+@in_event_loop
+async def test_log_that_nobody_reads_is_dropped_and_counted() -> None:
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    with pytest.raises(BlockingIOError):
+        while True:
+            os.write(writing, b"x" * 4096)
+    log = EventLog(writing)
+    log.record(Event.ENDPOINTS_UPDATED)
+    log.flush()
+    os.set_blocking(reading, False)
+    with pytest.raises(BlockingIOError):
+        while True:
+            os.read(reading, 65536)
+    log.record(Event.SHUTDOWN)
+    log.flush()
+    lines = [orjson.loads(line) for line in os.read(reading, 65536).splitlines()]
+    assert [line["event"] for line in lines] == [Event.SHUTDOWN, Event.DROPPED]
+    assert lines[1]["lines"] == 1
+    log.close()
+    os.close(reading)
+
+
+@in_event_loop
+async def test_log_is_off_unless_it_is_asked_for_and_can_be_opened(tmp_path: Path) -> None:
+    for environ in ({}, {VARIABLE: ""}, {VARIABLE: str(tmp_path)}):
+        log = EventLog.from_environment(environ)
+        log.record(Event.ENDPOINTS_UPDATED)
+        log.flush()
+        assert not log.enabled
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,108 @@
+"""The checks at run time: each one reports what it is for, where a part that decides is broken on purpose."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from loopback import (
+    ConnectGate,
+    ManualClock,
+    in_event_loop,
+    proxy_with_backends,
+    respond_ok,
+    stay_silent,
+    wait_until,
+    with_timeout,
+)
+from proxy_inputs import (
+    MAYBE_PROCESSED_RESPONSE,
+    OK_RESPONSE,
+    endpoint_entry,
+    get_request,
+    post_request,
+    status_of,
+)
+
+from balancer.attempts import RequestState
+from balancer.balancer import Balancer
+from proxy.active_request import ActiveRequest
+from proxy.downstream.connection_state import CloseReason
+from proxy.invariants import Invariant
+
+
+def allow_everything(*_args: Any) -> None:
+    """Refuse no attempt: a broken `Balancer.send_refusal`."""
+
+
+@in_event_loop
+async def test_nothing_is_reported_of_requests_that_keep_the_rules() -> None:
+    async with proxy_with_backends(respond_ok) as (proxy, _):
+        client = await proxy.connect()
+        for request in (get_request(1), post_request(2)):
+            assert status_of(await client.request(request)) == 200
+        assert proxy.proxy.monitor.summary() == ""
+
+
+@in_event_loop
+async def test_second_run_of_a_non_idempotent_request_is_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "send_refusal", allow_everything)
+    monkeypatch.setattr(RequestState, "retry_endpoints", lambda self, _now: self.pool.ready)
+    responses = [OK_RESPONSE, MAYBE_PROCESSED_RESPONSE]
+    async with proxy_with_backends(lambda _: responses.pop(), stay_silent) as (proxy, backends):
+        backends[1].script = backends[0].script
+        client = await proxy.connect()
+        assert status_of(await client.request(post_request())) == 200
+        assert proxy.proxy.monitor.violations == {Invariant.REPEATED_UNSAFELY: 1}
+
+
+@in_event_loop
+async def test_rejection_of_what_may_have_run_is_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(RequestState, "is_safe_to_repeat", lambda _self: True)
+    async with proxy_with_backends(lambda _: MAYBE_PROCESSED_RESPONSE) as (proxy, _):
+        client = await proxy.connect()
+        assert status_of(await client.request(post_request())) == 503
+        assert proxy.proxy.monitor.violations == {Invariant.REJECTED_UNSAFELY: 1}
+
+
+@in_event_loop
+async def test_timeout_beyond_the_clients_time_is_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    serialize = ActiveRequest.serialize
+
+    def serialize_late(active: ActiveRequest, timeout: float) -> bytes:
+        active.client_deadline -= 1.0  # so long ago was the clock read
+        return serialize(active, timeout)
+
+    monkeypatch.setattr(ActiveRequest, "serialize", serialize_late)
+    async with proxy_with_backends(respond_ok) as (proxy, _):
+        client = await proxy.connect()
+        await client.request(get_request())
+        assert proxy.proxy.monitor.violations == {Invariant.TIMEOUT_TOO_LONG: 1}
+
+
+@in_event_loop
+async def test_attempt_at_a_draining_backend_is_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = ManualClock()
+    async with proxy_with_backends(respond_ok) as (proxy, [backend]):
+        client = await clock.wait_for(proxy.connect())
+        gate = ConnectGate(monkeypatch)
+        client.writer.write(get_request())
+        await clock.wait_until(lambda: gate.held == 1)
+        [active] = proxy.dispatcher.active_requests.values()
+        proxy.notify([endpoint_entry("a", backend.address, "terminating")])
+        proxy.proxy.monitor.on_written(active, active.attempts[0], 0.0)
+        assert proxy.proxy.monitor.violations == {Invariant.SENT_OUT_OF_SERVICE: 1}
+        gate.release()
+        await clock.wait_for(client.response())
+
+
+@in_event_loop
+async def test_close_over_a_request_that_was_read_is_reported() -> None:
+    async with proxy_with_backends(stay_silent) as (proxy, [backend]):
+        client = await proxy.connect()
+        client.writer.write(get_request(1) + get_request(2))
+        await with_timeout(backend.received.get())
+        [connection] = proxy.listener.connections.open
+        connection.abort(CloseReason.EVICTED)
+        await wait_until(lambda: not proxy.dispatcher.active_requests)
+        assert proxy.proxy.monitor.violations == {Invariant.DROPPED_UNANSWERED: 1}
