--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import os
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 import orjson
-import pytest
 from loopback import RunningProxy, in_event_loop, respond_ok, stub_backend
 from proxy_inputs import endpoint_entry, get_request, proxy_config, status_of
 
@@ -48,14 +48,14 @@
 async def test_log_that_nobody_reads_is_dropped_and_counted() -> None:
     reading, writing = os.pipe()
     os.set_blocking(writing, False)
-    with pytest.raises(BlockingIOError):
+    with suppress(BlockingIOError):
         while True:
             os.write(writing, b"x" * 4096)
     log = EventLog(writing)
     log.record(Event.ENDPOINTS_UPDATED)
     log.flush()
     os.set_blocking(reading, False)
-    with pytest.raises(BlockingIOError):
+    with suppress(BlockingIOError):
         while True:
             os.read(reading, 65536)
     log.record(Event.SHUTDOWN)
