Soak test over real processes, with overlapping troubles and a judge of every request

Change: `python -m soak` runs a few dozen proxies by the deploy file's command, with a shim in the place of the program that fails system calls, cuts transfers short, delays connects and steps the wall clock; 14 stand-in backends in a process of their own; discovery by the emulator's registry, one agent for each proxy; clients that leave, write and read slowly, pipeline, stall and fill descriptors. Troubles are drawn from a seed. The judge holds every request to one whole answer in time, every arrival to repeats, windows, drains, clients gone and times told, and every process to its life and log; it allows for its own lateness, which it measures, and for the moments in which it stopped a process.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,11 @@
 scale:
 	$(PYTHON) -m emulator all
 
+# Real processes under overlapping troubles, each request judged, with nothing else running; some minutes.
+.PHONY: soak
+soak:
+	$(PYTHON) -m soak --seeds 3
+
 # A small edition: exits non-zero where a budget that is said to be held is over.
 .PHONY: scale-quick
 scale-quick:
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line."""
+
+from __future__ import annotations
+
+from soak.cli import command
+
+if __name__ == "__main__":
+    command()
--- /dev/null
+++ b/soak/cli.py
@@ -0,0 +1,57 @@
+"""The command line of the soak test: `python -m soak`.
+
+Exits 0 where no rule was broken, 1 where one was, 2 on bad arguments.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import click
+
+from soak.run import RunReport, run
+from soak.scenarios import SCENARIOS
+
+MAX_SHOWN = 20  # violations of a run that are printed in full
+
+
+@click.command(context_settings={"help_option_names": ["-h", "--help"]})
+@click.argument("names", nargs=-1, type=click.Choice(sorted(SCENARIOS)), metavar="[SCENARIO]...")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=1, show_default=True, help="How many.")
+@click.option("--seconds", type=click.FloatRange(1.0, 600.0), default=12.0, show_default=True)
+@click.option("--proxies", type=click.IntRange(2, 60), default=24, show_default=True)
+@click.option(
+    "--keep",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Folder for the proxies' files and event logs.",
+)
+def command(
+    names: tuple[str, ...], seed: int, seeds: int, seconds: float, proxies: int, keep: Path | None
+) -> None:
+    """Play scenarios, all by default, over real processes, and judge every request.
+
+    Nothing else should run on the machine meanwhile.
+    """
+    broken = 0
+    for name in names or sorted(SCENARIOS):
+        for number in range(seed, seed + seeds):
+            folder = keep / f"{name}-{number}" if keep is not None else None
+            report = asyncio.run(run(SCENARIOS[name], number, seconds, proxies, folder))
+            print_report(f"{name} {number}", report)
+            broken += bool(report.violations)
+    click.echo(f"{broken} runs broke a rule")
+    sys.exit(1 if broken else 0)
+
+
+def print_report(title: str, report: RunReport) -> None:
+    """Print what came of a run."""
+    endings = ", ".join(f"{ending}: {count}" for ending, count in sorted(report.endings.items()))
+    troubles = ", ".join(f"{name} {count}" for name, count in sorted(report.troubles.items()))
+    click.echo(f"{title}: {len(report.violations)} violations; {endings}")
+    click.echo(f"  troubles: {troubles}")
+    click.echo(f"  own lag at most {report.max_lag:.3f} s, memory {report.max_resident / 2**20:.0f} MB")
+    for violation in report.violations[:MAX_SHOWN]:
+        click.echo(f"  {violation.at:.3f} {violation.rule}: {violation.detail}")
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,142 @@
+"""One run: real proxies between stand-in backends, clients and discovery, troubles, and the verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+import time
+from collections import Counter
+from contextlib import ExitStack
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+import numpy as np
+
+from emulator.child import ChildProcess
+from emulator.loopback import free_ports
+from emulator.proxy_config import ProxyConfig
+from soak.backends import BackendFleet, Behaviour
+from soak.clients import ClientMix, Clients
+from soak.judge import Judge, Violation
+from soak.lag import LagMeter
+from soak.proxies import ProxyFleet
+from soak.records import Recording
+from soak.schedule import KILL_DELAY, Troubles, World
+from soak.shim import Faults
+from soak.world import DEADLINE, DEDUPLICATION_WINDOW, EndpointList, settings
+
+BACKENDS = 14
+PORTS_PER_PROXY = 3  # of the proxy itself, and of the two places of its discovery
+
+
+@dataclass(slots=True, frozen=True)
+class Scenario:
+    """What a run is made of.
+
+    Attributes:
+        help: One line on it.
+        faults: What fails inside the proxies.
+        mix: What clients do.
+        behaviour: What backends do.
+        troubles: The kinds of trouble; all where none is named.
+    """
+
+    help: str
+    faults: Faults = field(default_factory=Faults)
+    mix: ClientMix = field(default_factory=ClientMix)
+    behaviour: Behaviour = field(default_factory=Behaviour)
+    troubles: tuple[str, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class RunReport:
+    """What came of a run.
+
+    Attributes:
+        violations: The broken rules, in the order of time.
+        endings: How many requests ended how, with the status of answers.
+        troubles: How many troubles of each kind there were.
+        max_lag: Seconds by which the run's own processes were late at most.
+        max_resident: Bytes of memory that a proxy had at its end, at most.
+    """
+
+    violations: list[Violation]
+    endings: Counter[str]
+    troubles: dict[str, int]
+    max_lag: float
+    max_resident: int
+
+
+async def run(
+    scenario: Scenario, seed: int, seconds: float, proxies: int, folder: Path | None = None
+) -> RunReport:
+    """Play a scenario.
+
+    Args:
+        scenario: What to play.
+        seed: For everything random; what the processes do beside each other stays their own.
+        seconds: How long clients send requests.
+        proxies: How many proxies there are.
+        folder: Where the proxies' files and event logs stay; by default nothing stays.
+    """
+    with ExitStack() as stack:
+        kept = folder or Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="soak-")))
+        kept.mkdir(parents=True, exist_ok=True)
+        names = [f"s{number}" for number in range(BACKENDS)]
+        backends = stack.enter_context(ChildProcess(BackendFleet, names, seed, scenario.behaviour))
+        return await _play(scenario, seed, seconds, proxies, kept, backends, log_events=folder is not None)
+
+
+async def _play(
+    scenario: Scenario,
+    seed: int,
+    seconds: float,
+    proxies: int,
+    folder: Path,
+    backends: ChildProcess,
+    log_events: bool,
+) -> RunReport:
+    recording = Recording(deduplication_window=DEDUPLICATION_WINDOW)
+    endpoints = EndpointList(backends.call("start"), proxies, recording)
+    ports = free_ports(PORTS_PER_PROXY * proxies, np.random.default_rng(seed))
+    listening, discovery = ports[:proxies], list(zip(ports[proxies::2], ports[proxies + 1 :: 2], strict=True))
+    await endpoints.open_agents(discovery)
+    fleet = ProxyFleet(folder, recording, replace(scenario.faults, seed=seed), log_events)
+    draw = random.Random(seed)
+    for number, port in enumerate(listening):
+        known, config = endpoints.snapshot(), settings(proxies, number)
+        seed_text = f"{draw.getrandbits(64):016x}"
+        fleet.add(ProxyConfig(f"p{number}", port, discovery[number][0], seed_text, known, config, "0"))
+    lag_meter = LagMeter()
+    clients = Clients(fleet, recording, scenario.mix, seed + 1)
+    troubles = Troubles(
+        World(fleet, backends, endpoints, clients, discovery, folder), seed + 2, scenario.troubles
+    )
+    try:
+        await fleet.start_all()
+        until = time.monotonic() + seconds
+        await asyncio.gather(clients.run(until), troubles.run(until))
+        fleet.note_ended()
+    finally:
+        await fleet.stop_all(DEADLINE + KILL_DELAY)
+    endpoints.finish()
+    endpoints.registry.close()
+    recording.arrivals, lags = backends.call("results")
+    recording.lags = lags + lag_meter.lags
+    lag_meter.stop()
+    return _report(recording, troubles)
+
+
+def _report(recording: Recording, troubles: Troubles) -> RunReport:
+    endings = Counter(
+        f"{request.ending} {request.status}" if request.status else str(request.ending)
+        for request in recording.requests
+    )
+    return RunReport(
+        Judge(recording).violations(),
+        endings,
+        troubles.counts,
+        max((seconds for _, seconds in recording.lags), default=0.0),
+        max((life.resident for life in recording.lives), default=0),
+    )
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,159 @@
+"""What a run tells its proxies: settings, endpoint lists and where discovery is.
+
+Owns the endpoint list's changes and when each proxy counts as told of them. Discovery is the emulator's.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from emulator.loopback import HOST
+from emulator.registry import Registry
+from soak.records import Drain, Recording, Safety
+
+ZONES = ("a", "b")
+DEADLINE = 2.0  # seconds, of each class
+DEDUPLICATION_WINDOW = 0.8  # seconds
+WARMUP = 1.0  # seconds
+FOREVER = float("inf")
+Entry = dict[str, Any]
+
+
+def settings(proxies: int, ordinal: int, keyed_is_safe: bool = True, cancel: bool = True) -> dict[str, Any]:
+    """Return the `settings` of one proxy's configuration file.
+
+    Args:
+        proxies: How many proxies there are.
+        ordinal: The number of this one.
+        keyed_is_safe: Whether the keyed class may be repeated; else it must not run twice.
+        cancel: Whether attempts may be cancelled.
+    """
+    common = {"Aim": 1.0, "HardLimit": DEADLINE, "LateWorth": 1.0, "Credit": 1.0}
+    keyed = Safety.KEYED if keyed_is_safe else Safety.NON_IDEMPOTENT
+    return {
+        "Instances": proxies,
+        "Ordinal": ordinal,
+        "Services": [
+            common | {"Name": str(Safety.IDEMPOTENT), "Repeat": str(Safety.IDEMPOTENT)},
+            common
+            | {
+                "Name": str(Safety.KEYED),
+                "Repeat": str(keyed),
+                "Group": "all",
+                "Window": DEDUPLICATION_WINDOW,
+            },
+            common | {"Name": str(Safety.NON_IDEMPOTENT), "Repeat": str(Safety.NON_IDEMPOTENT)},
+        ],
+        "ClientHabits": {"MarksRetry": True},
+        "Bounds": {
+            "Cancel": cancel,
+            "SecondCopies": True,
+            "MaxAttempts": 4,
+            "ConnIdle": 10.0,
+            "DialTimeout": 0.25,
+            "RetryAfter": True,
+            "MaxRetryAfter": 1.0,
+        },
+        "Rules": {"DrainGrace": 0.25, "ColdFrom": 0.5, "Cold": WARMUP, "FallMultiple": 3.0, "TipAfter": 2.0},
+        "RegistryMode": "pushed",
+        "Tier": 0,
+        "Tiers": ["front"],
+        "Zone": 0,
+        "Zones": list(ZONES),
+        "HostTypes": ["k"],
+    }
+
+
+class EndpointList:
+    """The endpoint list of a run, as discovery has it."""
+
+    def __init__(self, ports: dict[str, int], proxies: int, recording: Recording) -> None:
+        self._entries = {
+            name: self._entry(name, port, position) for position, (name, port) in enumerate(ports.items())
+        }
+        self._recording = recording
+        self._proxies = range(proxies)
+        self._silent: set[int] = set()
+        self._untold: list[dict[int, float]] = []  # of drains that some proxies can't have been told of
+        self._draining: dict[str, dict[int, float]] = {}
+        self.registry = Registry(self._entries.values())
+
+    @staticmethod
+    def _entry(name: str, port: int, position: int) -> Entry:
+        return {
+            "name": name,
+            "address": f"{HOST}:{port}",
+            "zone": ZONES[position % len(ZONES)],
+            "type": "k",
+            "group": position % 3,
+            "status": "in_service",
+            "weight": 1.0,
+            "since_ms": 0,
+        }
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the complete list, in discovery's form."""
+        return {
+            "index": self.registry.state.index,
+            "snapshot": True,
+            "endpoints": list(self._entries.values()),
+        }
+
+    def names(self) -> list[str]:
+        """Return the names of the backends that are in service."""
+        return [name for name, entry in self._entries.items() if entry["status"] == "in_service"]
+
+    async def open_agents(self, ports: list[tuple[int, int]]) -> None:
+        """Open discovery for each proxy, at the two places that it may be told of."""
+        for proxy, pair in enumerate(ports):
+            for name, port in zip(_agents(proxy), pair, strict=True):
+                await self.registry.open_endpoint(name, port)
+
+    def drain(self, name: str) -> None:
+        """Let a backend want nothing new."""
+        self._publish(name, status="terminating")
+        now = time.monotonic()
+        told_at = {proxy: FOREVER if proxy in self._silent else now for proxy in self._proxies}
+        self._draining[name] = told_at
+
+    def return_to_service(self, name: str, port: int) -> None:
+        """Let a backend be in service again, as another process at another port."""
+        told_at = self._draining.pop(name, None)
+        if told_at is not None:
+            self._recording.drains.append(Drain(name, told_at, time.monotonic()))
+        started_ms = int(time.time() * 1000)
+        self._publish(name, status="in_service", address=f"{HOST}:{port}", since_ms=started_ms)
+
+    def finish(self) -> None:
+        """Record the drains that have not ended."""
+        for name, told_at in self._draining.items():
+            self._recording.drains.append(Drain(name, told_at))
+
+    def silence(self, proxies: list[int]) -> None:
+        """Let the agents of some proxies say nothing."""
+        self._silent.update(proxies)
+        self.registry.silence([name for proxy in proxies for name in _agents(proxy)])
+
+    def heal(self, proxies: list[int]) -> None:
+        """Let these agents speak again: what they have counts as told from now on."""
+        now = time.monotonic()
+        self._silent.difference_update(proxies)
+        for told_at in self._draining.values():
+            for proxy in proxies:
+                told_at[proxy] = min(told_at[proxy], now)
+        self.registry.heal([name for proxy in proxies for name in _agents(proxy)])
+
+    def reset_watches(self, forget_log: bool) -> None:
+        """Reset all watches; with `forget_log` they get the complete list when they return."""
+        self.registry.reset_connections(list(self.registry.endpoints), forget_log)
+
+    def _publish(self, name: str, **changed: Any) -> None:
+        entry = self._entries[name] | changed
+        self._entries[name] = entry
+        self.registry.publish(self.registry.state.index + 1, [entry])
+
+
+def _agents(proxy: int) -> tuple[str, str]:
+    """Return the names of the two places where a proxy's discovery may be."""
+    return f"{proxy}-one", f"{proxy}-two"
