Tests that fail: responses cut while they are read, requests dropped as connections close

- A response of 300 KB that its client is reading is cut off as new clients come at the limit on connections (both with and without `Connection: close`).
- A request that waits behind a response that is not read yet is dropped in a shutdown.
- A request that comes behind an open one while connections close is read, and dropped without an answer.

--- a/soak/judge.py
+++ b/soak/judge.py
@@ -148,8 +148,8 @@
     def _counts_as_lost(self, request: Request) -> bool:
         """Return whether a request whose connection ended without an answer was lost.
 
-        Where a connection that had served before ends, the request may have crossed its end unread, and is sent
-        once more. It was read if it arrived at a backend by this proxy.
+        Where a connection that had served before ends, the request may have crossed its end unread, and is
+        sent once more. It was read if it arrived at a backend by this proxy.
         """
         if self._is_excused(request):
             return False
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -148,3 +148,34 @@
         await proxy.finish_shutdown()
         assert not proxy.dispatcher.active_requests
         assert backend.received.qsize() == (2 if state == "another queued" else 1)
+
+
+@pytest.mark.parametrize("leaves", [False, True], ids=["waits", "leaves"])
+@in_event_loop
+async def test_request_sent_behind_another_as_connections_close_is_left_unread(leaves: bool) -> None:
+    async with stub_backend(stay_silent) as backend:
+        proxy = await start_proxy([endpoint_entry("a", backend.address)])
+        clock = proxy.clock
+        client = await proxy.connect()
+        client.writer.write(post_request(1))
+        await clock.wait_until(lambda: backend.received.qsize() == 1)
+        await proxy.begin_shutdown()
+        await proxy.advance_to(ACCEPT_TIME)
+        client.writer.write(post_request(2))  # what is read now would be owed an answer
+        await clock.settle()
+        await clock.advance(CLOCK_STEP)
+        if leaves:  # seen though nothing is read
+            client.writer.close()
+            await clock.settle()
+            await clock.advance(CLOCK_STEP)
+            await clock.wait_until(lambda: not proxy.dispatcher.active_requests)
+        else:
+            backend.writers[0].write(OK_RESPONSE)
+            response = await proxy.response(client)
+            assert status_of(response) == 200
+            assert b"Connection: close\r\n" in response
+            assert await clock.wait_for(client.reader.read()) == b""
+            client.writer.close()
+        await proxy.finish_shutdown()
+        assert backend.received.qsize() == 1
+        assert proxy.proxy.monitor.summary() == ""
--- /dev/null
+++ b/tests/test_unread_responses.py
@@ -0,0 +1,82 @@
+"""Responses that their clients read slowly: what a full proxy, a time limit or a shutdown does to them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+from client_scenarios import connect_slow_reader
+from loopback import RunningProxy, in_event_loop, proxy_with_backends, wait_until, with_timeout
+from proxy_inputs import OK_RESPONSE, get_request, post_request
+from proxy_internals import unwritten_bytes
+
+from proxy.downstream.connection import DownstreamConnection
+
+FOUR_CLIENTS = 48 + 8  # descriptors: 48 are reserved, clients may use half of the others
+NEWCOMERS = 12  # clients that come while a response is read
+SMALL_SEND_BUFFER = 4096  # bytes: as much of a response waits in the proxy as on a slow network
+BODY = b"x" * 300_000
+LARGE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(BODY), BODY)
+
+
+def limit_send_buffer(connection: DownstreamConnection) -> None:
+    """Let the system take a small part of a response at once."""
+    sock = connection._transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_SEND_BUFFER)
+
+
+async def begin_response(proxy: RunningProxy, request: bytes) -> tuple[socket.socket, DownstreamConnection]:
+    """Send a request whose response the client does not read yet."""
+    sock, connection = await connect_slow_reader(proxy)
+    limit_send_buffer(connection)
+    await asyncio.get_running_loop().sock_sendall(sock, request)
+    await wait_until(lambda: unwritten_bytes(connection) > 0)
+    return sock, connection
+
+
+async def read_until_end(sock: socket.socket) -> bytes:
+    """Read all that comes until the connection ends."""
+    data = b""
+    while piece := await with_timeout(asyncio.get_running_loop().sock_recv(sock, 1 << 16)):
+        data += piece
+    return data
+
+
+async def read_length(sock: socket.socket, length: int) -> bytes:
+    """Read so many bytes, or up to the connection's end."""
+    data = b""
+    loop = asyncio.get_running_loop()
+    while len(data) < length and (piece := await with_timeout(loop.sock_recv(sock, length - len(data)))):
+        data += piece
+    return data
+
+
+@pytest.mark.parametrize("connection_header", ["keep-alive", "close"])
+@in_event_loop
+async def test_response_that_is_being_read_is_not_cut_for_new_clients(connection_header: str) -> None:
+    async with proxy_with_backends(lambda _: LARGE_RESPONSE, max_sockets=FOUR_CLIENTS) as (proxy, _):
+        sock, _ = await begin_response(proxy, get_request(Connection=connection_header))
+        newcomers = [await proxy.connect() for _ in range(NEWCOMERS)]
+        newcomers[0].writer.write(b"GET")  # some of them are evicted, but they have been accepted
+        await wait_until(lambda: len(proxy.listener.connections.open) <= 4)
+        response = await read_length(sock, len(LARGE_RESPONSE))
+        assert response.endswith(BODY)
+        for client in newcomers:
+            client.writer.close()
+        sock.close()
+
+
+@in_event_loop
+async def test_request_that_waits_behind_an_unread_response_is_answered_in_a_shutdown() -> None:
+    responses = [OK_RESPONSE, LARGE_RESPONSE]
+    async with proxy_with_backends(lambda _: responses.pop()) as (proxy, [backend]):
+        sock, connection = await begin_response(proxy, get_request(1) + post_request(2))
+        proxy.listener.stop_keepalive()
+        response = await read_until_end(sock)
+        assert backend.received.qsize() == 2
+        assert response.count(b"HTTP/1.1 200 OK\r\n") == 2
+        assert response.endswith(b"done")
+        assert proxy.proxy.monitor.summary() == ""
+        sock.close()
+        await wait_until(lambda: connection not in proxy.listener.connections.open)
