Write responses to their end, and answer what was read, at the limits and in a shutdown

Cause: what is still to be written and what waits in a queue was no part of a connection's state. After a response it was IDLE or CLOSING at once: first to go in `make_room`, closed by `_sweep` and by `stop_keepalive`. `_may_go_on` went by the time of a request's first byte, though all that had been read by then was owed an answer.

Ruled out: what the system has taken already (a close without unread bytes still delivers it); one turn of the loop alone (the state lasts as long as the client reads slowly).

Change: a connection with a complete request behind a response is WAITING, which nothing evicts and no shutdown closes; none is evicted whose response is still being written, and time limits are renewed while its client reads on, up to the longest deadline. As connections close, nothing more is read on those that owe an answer, all that was read is answered, and a close over unread bytes ends the sending side first; clients that leave then are seen by asking the socket.

--- a/proxy/config.py
+++ b/proxy/config.py
@@ -97,6 +97,11 @@
     label: str = ""
     digest: str = ""
 
+    @property
+    def longest_deadline(self) -> float:
+        """Seconds: no client waits for an answer longer than that."""
+        return max(request_class.deadline for request_class in self.settings.classes)
+
     def version(self, count: int) -> str:
         """Return the version that operators see: the label, or else a count, and the digest.
 
--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -11,6 +11,7 @@
 import select
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,7 @@
     NEW,
     READING,
     SERVING,
+    WAITING,
     CloseReason,
     ConnectionState,
 )
@@ -63,6 +65,9 @@
         self._keep_alive = False  # whether the client wants to go on after the request that is served
         self._write_paused = False  # the client does not read its responses
         self._input_ended = False  # a rejection is queued or written: what still comes is discarded
+        self._reading_stopped = False  # the proxy shuts down, and an answer is owed already
+        self._unwritten_bytes = 0  # of responses, when that was last looked at
+        self._written_since = 0.0  # the loop's time at which the latest response was written
         self._discarded_bytes = 0
         self._buffered_bytes = 0  # its part of what the listener counts
 
@@ -119,10 +124,22 @@
             self._connections.open.discard(self)
 
     def close(self, reason: CloseReason) -> None:
-        """Close the connection once what is written is out."""
+        """Close the connection once what is written is out.
+
+        To close with bytes unread would reset the connection, and cut a response that is still on its way. So
+        where some are left unread only the sending side is closed, and the rest once the client has left.
+        """
         self._record_close(reason)
         self._enter(CLOSING, self._loop.time() + eviction.CLOSING_TIMEOUT)
-        self._transport.close()
+        if self._reading_stopped and (self.is_writing() or self._poll(select.POLLIN)):
+            self._end_sending()
+        else:
+            self._transport.close()
+
+    def _end_sending(self) -> None:
+        """Close the sending side once what is written is out."""
+        with suppress(OSError):  # the client has just reset the connection, which is seen by itself
+            self._transport.write_eof()
 
     def abort(self, reason: CloseReason) -> None:
         """Close the connection at once."""
@@ -143,7 +160,7 @@
                 unwritten=unwritten,
                 peer=str(self._transport.get_extra_info("peername")),
             )
-        for request in self._queue:
+        for request in self._queue if reason is not CloseReason.CLIENT_LEFT else ():
             if isinstance(request, ClientRequest):
                 request_id = request.headers.get(b"x-request-id", b"")
                 self._listener.monitor.report(Invariant.DROPPED_UNANSWERED, request_id)
@@ -155,11 +172,31 @@
         the system for it keeps attempts for nobody away from backends. A client that ends only its sending
         looks the same, and counts as disconnected too.
         """
-        if self._transport.is_closing():
-            return True
+        return self._transport.is_closing() or bool(self._poll(select.POLLRDHUP) & DISCONNECT_EVENTS)
+
+    def is_abandoned(self) -> bool:
+        """Return whether the client has left, where nothing is read that would tell."""
+        return self._reading_stopped and not self._transport.is_closing() and self.has_disconnected()
+
+    def is_writing(self) -> bool:
+        """Return whether a part of a response is not written yet: the client reads it slowly."""
+        return self._transport.get_write_buffer_size() > 0
+
+    def is_read_on(self) -> bool:
+        """Return whether the client has read more of a response since the last call, and may want the rest.
+
+        Nobody waits longer than the longest deadline of all classes: then the rest is of no use.
+        """
+        before, self._unwritten_bytes = self._unwritten_bytes, self._transport.get_write_buffer_size()
+        if not 0 < self._unwritten_bytes < before:
+            return False
+        return self._loop.time() < self._written_since + self._listener.config.longest_deadline
+
+    def _poll(self, events: int) -> int:
+        """Return which of these events, or of those that are always told, have come on the socket."""
         poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return any(events & DISCONNECT_EVENTS for _, events in poll.poll(0))
+        poll.register(self._transport.get_extra_info("socket").fileno(), events)
+        return sum(found for _, found in poll.poll(0))
 
     def pause_writing(self) -> None:
         """Note that the client reads more slowly than is written."""
@@ -170,6 +207,19 @@
         self._write_paused = False
         self._resume()
 
+    # ---- shutdown ------------------------------------------------------------------------
+
+    def begin_closing(self) -> None:
+        """Take part in a shutdown that closes connections: close if no answer is owed, else read no more."""
+        if self._state is NEW or self._state is IDLE:
+            self.close(CloseReason.SHUTDOWN)
+        elif self._state is SERVING or self._state is WAITING:
+            self._stop_reading()
+
+    def _stop_reading(self) -> None:
+        self._reading_stopped = True
+        self._transport.pause_reading()
+
     # ---- reading -------------------------------------------------------------------------
 
     def get_buffer(self, _sizehint: int) -> memoryview:
@@ -218,7 +268,7 @@
         """
         parser, listener, queue = self._parser, self._listener, self._queue
         buffered = parser.buffered_bytes()
-        must_wait = self._state is SERVING or self._write_paused
+        must_wait = self._state is SERVING or self._state is WAITING or self._write_paused
         if must_wait:
             buffered += sum(
                 request.buffered_bytes() for request in queue if isinstance(request, ClientRequest)
@@ -244,13 +294,15 @@
 
     def _serve_next(self) -> None:
         """Take up the next request, unless an earlier one is still unanswered or its response unread."""
-        if self._state is SERVING or self._write_paused:
+        if self._state is SERVING or self._state is CLOSED or self._write_paused:
             return
         request = self._queue.popleft()
         if isinstance(request, HttpError):
             self.reject(request)
             return
         self._enter(SERVING)
+        if self._listener.closing_since < inf and not self._reading_stopped:
+            self._stop_reading()
         self._keep_alive = request.keep_alive
         try:
             self._dispatch(request)
@@ -288,7 +340,7 @@
         body = error.reason.encode() + b"\n"
         self._transport.write(encode_response(error.status, b"", body, keep_alive=False))
         self._enter(CLOSING, self._loop.time() + eviction.CLOSING_TIMEOUT)
-        self._transport.write_eof()
+        self._end_sending()
 
     def send_response(self, status: int, headers: bytes, body: bytes) -> None:
         """Write the one final response to the request that is being served.
@@ -301,25 +353,21 @@
         self.on_disconnect = None
         keep_alive = self._keep_alive and self._may_go_on()
         self._transport.write(encode_response(status, headers, body, keep_alive))
+        now = self._written_since = self._loop.time()
+        self._unwritten_bytes = self._transport.get_write_buffer_size()
         if not keep_alive:
             self.close(CloseReason.LAST_RESPONSE)
             self._queue.clear()
             return
-        now = self._loop.time()
-        if self._parser.reading:
+        if self._queue:
+            self._enter(WAITING, now + self._idle_timeout)
+            if not self._write_paused:
+                self._loop.call_soon(self._resume)
+        elif self._parser.reading:
             self._enter(READING, now + eviction.REQUEST_TIMEOUT)
         else:
             self._enter(IDLE, now + self._idle_timeout)
-        if self._queue and not self._write_paused:
-            self._loop.call_soon(self._resume)
 
     def _may_go_on(self) -> bool:
-        """Return whether more is answered on this connection.
-
-        While the proxy shuts down, that is only what had come before connections began to close.
-        """
-        closing_since = self._listener.closing_since
-        if closing_since == inf:
-            return True
-        waiting = self._queue[0] if self._queue else None
-        return isinstance(waiting, ClientRequest) and waiting.received_at < closing_since
+        """Return whether more is answered on this connection: in a shutdown, only what has been read."""
+        return self._listener.closing_since == inf or bool(self._queue)
--- a/proxy/downstream/connection_state.py
+++ b/proxy/downstream/connection_state.py
@@ -9,9 +9,9 @@
     """What a client's connection is doing.
 
     A connection begins as NEW. The first bytes of a request make it READING, the complete request SERVING (at
-    once, where it comes in one piece). The response makes it IDLE, or READING again where a part of the next
-    request is already there. A rejection, and a response that ends the connection, make it CLOSING. When it
-    is aborted, or has ended, it is CLOSED.
+    once, where it comes in one piece). The response makes it IDLE, WAITING where the next request is there
+    already, or READING where a part of that is. A rejection, and a response that ends the connection, make it
+    CLOSING. When it is aborted, or has ended, it is CLOSED.
 
     The values count from 0: they are positions in `ConnectionRegistry.deadlines_by_state`.
     """
@@ -20,13 +20,14 @@
     READING = 1  # a part of a request has come
     SERVING = 2  # a request waits for its response: the only state without a time limit of its own
     IDLE = 3  # between two requests
-    CLOSING = 4  # the last response is written, the end of the connection is not seen yet
-    CLOSED = 5  # aborted or ended
+    WAITING = 4  # the next request is complete, and the response before it may not be read yet
+    CLOSING = 5  # the last response is written, the end of the connection is not seen yet
+    CLOSED = 6  # aborted or ended
 
 
 # Each state under its own name too: Python 3.11 takes several times as long to look a member up in its class,
 # and each request changes the state two or three times.
-NEW, READING, SERVING, IDLE, CLOSING, CLOSED = ConnectionState
+NEW, READING, SERVING, IDLE, WAITING, CLOSING, CLOSED = ConnectionState
 
 
 class CloseReason(StrEnum):
@@ -38,3 +39,4 @@
     LAST_RESPONSE = "last_response"  # the client, or a shutdown, wants no further request on it
     SHUTDOWN = "shutdown"  # it rested as the proxy began to close
     FLOOD = "flood"  # it sends on and on behind a rejection
+    CLIENT_LEFT = "client_left"  # seen where nothing is read any more
--- a/proxy/downstream/eviction.py
+++ b/proxy/downstream/eviction.py
@@ -10,7 +10,15 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from proxy.downstream.connection_state import CLOSING, IDLE, NEW, READING, CloseReason, ConnectionState
+from proxy.downstream.connection_state import (
+    CLOSING,
+    IDLE,
+    NEW,
+    READING,
+    WAITING,
+    CloseReason,
+    ConnectionState,
+)
 from proxy.downstream.errors import HttpError
 
 if TYPE_CHECKING:
@@ -21,6 +29,7 @@
 IDLE_TIMEOUT = 10.0  # seconds without a request after which a connection that has sent some is closed
 MIN_IDLE_TIMEOUT = 2.0  # seconds, where it has sent none or connections run short: clients may count on them
 CLOSING_TIMEOUT = 2.0  # seconds that a closing connection may take until the client has closed it too
+WRITING_TIMEOUT = 2.0  # seconds in which a client has to read a part of the response that is being written
 SETTLING_TIME = 0.05  # seconds in which the first bytes of a new connection may still be on their way
 SWEEP_INTERVAL = 0.25  # seconds between two looks at the deadlines
 SHORTAGE_THRESHOLD = 0.5  # part of the limit on connections above which they count as running short
@@ -35,8 +44,9 @@
 
     Attributes:
         open: All connections that hold a descriptor, in whatever state.
-        new, reading, idle, closing: The connections in that state. Insertion order is the order of eviction.
-        deadlines_by_state: The same four, at the position that `ConnectionState` gives. None for SERVING,
+        new, reading, idle, waiting, closing: The connections in that state. Insertion order is the order of
+            eviction; those that wait owe an answer, and are not evicted.
+        deadlines_by_state: The same five, at the position that `ConnectionState` gives. None for SERVING,
             where the request has a deadline of its own, and for CLOSED.
     """
 
@@ -46,8 +56,15 @@
         self.new: Deadlines = {}
         self.reading: Deadlines = {}
         self.idle: Deadlines = {}
+        self.waiting: Deadlines = {}
         self.closing: Deadlines = {}
-        by_state = {NEW: self.new, READING: self.reading, IDLE: self.idle, CLOSING: self.closing}
+        by_state = {
+            NEW: self.new,
+            READING: self.reading,
+            IDLE: self.idle,
+            WAITING: self.waiting,
+            CLOSING: self.closing,
+        }
         self.deadlines_by_state = tuple(by_state.get(state) for state in ConnectionState)
         self._loop = asyncio.get_running_loop()
         self._loop.call_later(SWEEP_INTERVAL, self._sweep)
@@ -56,7 +73,8 @@
         """Keep to the limit on connections by closing one that is of no use; return whether there is room.
 
         Clients that behave well are kept for as long as possible. So the order is: closing, the oldest one
-        where it is silent since it connected, idle, new, and last one whose request is being read.
+        where it is silent since it connected, idle, new, and last one whose request is being read. None is
+        closed whose response is still being written: it would be cut.
 
         Args:
             newcomer: The connection to make room for; it is not closed itself.
@@ -73,7 +91,7 @@
         reading = self.reading if request_complete or excess > EXTRA_READING_CONNECTIONS else ()
         for candidates in (self.closing, silent, self.idle, self.new, reading):
             for connection in candidates:
-                if connection is not newcomer:
+                if connection is not newcomer and not connection.is_writing():
                     connection.abort(CloseReason.EVICTED)
                     return True
         return False
@@ -87,9 +105,18 @@
         now = self._loop.time()
         running_short = len(self.open) > SHORTAGE_THRESHOLD * self.max_connections
         idle_advance = IDLE_TIMEOUT - MIN_IDLE_TIMEOUT if running_short else 0.0
-        for deadlines, advance in ((self.closing, 0.0), (self.new, 0.0), (self.idle, idle_advance)):
+        limited = (
+            (self.closing, 0.0),
+            (self.new, 0.0),
+            (self.idle, idle_advance),
+            (self.waiting, idle_advance),
+        )
+        for deadlines, advance in limited:
             for connection in _overdue(deadlines, now, advance):
-                connection.abort(CloseReason.TOO_LATE)
+                if connection.is_read_on():
+                    deadlines[connection] = now + advance + WRITING_TIMEOUT
+                else:
+                    connection.abort(CloseReason.TOO_LATE)
         for connection in _overdue(self.reading, now):
             connection.reject(HttpError(408, "the request took too long"))
 
--- a/proxy/downstream/listener.py
+++ b/proxy/downstream/listener.py
@@ -120,7 +120,17 @@
         self._server.close()
 
     def stop_keepalive(self) -> None:
-        """Let each response close its connection from now on, and close those that wait for none."""
+        """Let each response close its connection from now on, and close those that wait for none.
+
+        What has been read is answered first. Nothing more is read on connections that owe an answer: it would
+        be owed one too, and clients that find their connection closed send it elsewhere.
+        """
         self.closing_since = self._loop.time()
-        for connection in (*self.connections.new, *self.connections.idle):
-            connection.close(CloseReason.SHUTDOWN)
+        for connection in tuple(self.connections.open):
+            connection.begin_closing()
+
+    def close_abandoned(self) -> None:
+        """Close the connections of clients that have left while nothing was read from them any more."""
+        for connection in tuple(self.connections.open):
+            if connection.is_abandoned():
+                connection.abort(CloseReason.CLIENT_LEFT)
--- a/proxy/shutdown.py
+++ b/proxy/shutdown.py
@@ -45,12 +45,12 @@
         await self._listener.stop_listening(listening_socket)
         await asyncio.sleep(READ_TIME)
         # A request may become complete only from here on. SIGKILL may come before its own time is up.
-        longest_deadline = max(row.deadline for row in self._listener.config.settings.classes)
-        killed_at = began_at + min(longest_deadline, MAX_DEADLINE) + KILL_DELAY
+        killed_at = began_at + min(self._listener.config.longest_deadline, MAX_DEADLINE) + KILL_DELAY
         self._dispatcher.limit_deadlines(killed_at - KILL_MARGIN)
         self._listener.stop_keepalive()
         while self._listener.connections.open:
             await asyncio.sleep(CONNECTION_POLL_INTERVAL)
+            self._listener.close_abandoned()
 
     async def _accept_late_connections(self, began_at: float) -> None:
         """Go on accepting what is on its way: the clients' side sends connections here for a moment more."""
--- a/tests/test_unread_responses.py
+++ b/tests/test_unread_responses.py
@@ -7,11 +7,12 @@
 
 import pytest
 from client_scenarios import connect_slow_reader
-from loopback import RunningProxy, in_event_loop, proxy_with_backends, wait_until, with_timeout
+from loopback import ManualClock, RunningProxy, in_event_loop, proxy_with_backends, wait_until, with_timeout
 from proxy_inputs import OK_RESPONSE, get_request, post_request
 from proxy_internals import unwritten_bytes
 
 from proxy.downstream.connection import DownstreamConnection
+from proxy.downstream.eviction import CLOSING_TIMEOUT, IDLE_TIMEOUT
 
 FOUR_CLIENTS = 48 + 8  # descriptors: 48 are reserved, clients may use half of the others
 NEWCOMERS = 12  # clients that come while a response is read
@@ -43,11 +44,11 @@
     return data
 
 
-async def read_length(sock: socket.socket, length: int) -> bytes:
-    """Read so many bytes, or up to the connection's end."""
+async def read_body(sock: socket.socket) -> bytes:
+    """Read until the large body has come, or the connection ends."""
     data = b""
     loop = asyncio.get_running_loop()
-    while len(data) < length and (piece := await with_timeout(loop.sock_recv(sock, length - len(data)))):
+    while not data.endswith(BODY) and (piece := await with_timeout(loop.sock_recv(sock, 1 << 16))):
         data += piece
     return data
 
@@ -60,13 +61,44 @@
         newcomers = [await proxy.connect() for _ in range(NEWCOMERS)]
         newcomers[0].writer.write(b"GET")  # some of them are evicted, but they have been accepted
         await wait_until(lambda: len(proxy.listener.connections.open) <= 4)
-        response = await read_length(sock, len(LARGE_RESPONSE))
+        response = await read_body(sock)
         assert response.endswith(BODY)
         for client in newcomers:
             client.writer.close()
         sock.close()
 
 
+@pytest.mark.parametrize(
+    ("connection_header", "limit"), [("keep-alive", IDLE_TIMEOUT), ("close", CLOSING_TIMEOUT)]
+)
+@pytest.mark.parametrize("reads", [True, False], ids=["reads on", "stands still"])
+@in_event_loop
+async def test_response_that_is_being_read_outlasts_the_limits_of_its_connection(
+    connection_header: str, limit: float, reads: bool
+) -> None:
+    async with proxy_with_backends(lambda _: LARGE_RESPONSE) as (proxy, _):
+        loop = asyncio.get_running_loop()
+        sock, connection = await begin_response(proxy, get_request(Connection=connection_header))
+        clock = ManualClock()
+        read = b""
+        for _ in range(3):
+            if reads:
+                before = unwritten_bytes(connection)
+                while unwritten_bytes(connection) == before:
+                    piece = await clock.wait_for(loop.sock_recv(sock, 1 << 14))
+                    assert piece, "the response was cut"
+                    read += piece
+            await clock.advance(0.6 * limit)
+        assert (connection in proxy.listener.connections.open) == reads
+        if reads:
+            while len(read) < len(LARGE_RESPONSE) and (
+                piece := await clock.wait_for(loop.sock_recv(sock, 1 << 16))
+            ):
+                read += piece
+            assert read.endswith(BODY)
+        sock.close()
+
+
 @in_event_loop
 async def test_request_that_waits_behind_an_unread_response_is_answered_in_a_shutdown() -> None:
     responses = [OK_RESPONSE, LARGE_RESPONSE]
