Tests that fail: a connection lost at rest, and requests dropped by a rejection

- Requests that wait on a connection behind one that is rejected (malformed, or no room for it) are read, and dropped.

--- a/tests/test_downstream_requests.py
+++ b/tests/test_downstream_requests.py
@@ -133,3 +133,17 @@
             )
         assert unwritten_bytes(connection) < 3 * 65536
         sock.close()
+
+
+@pytest.mark.parametrize("waiting", [1, 3])
+@in_event_loop
+async def test_requests_behind_one_that_ends_the_connection_are_rejected_one_by_one(waiting: int) -> None:
+    async with proxy_with_backends(respond_ok) as (proxy, [backend]):
+        client = await proxy.connect()
+        bad = get_request(0, X_Priority_Class="unknown")
+        client.writer.write(bad + b"".join(post_request(1 + number) for number in range(waiting)))
+        statuses = [status_of(await client.response()) for _ in range(1 + waiting)]
+        assert statuses == [400] + [503] * waiting
+        assert await with_timeout(client.reader.read()) == b""
+        assert backend.received.empty()
+        assert proxy.proxy.monitor.summary() == ""
--- a/tests/test_upstream_connection_pool.py
+++ b/tests/test_upstream_connection_pool.py
@@ -8,6 +8,7 @@
 
 import pytest
 from loopback import (
+    ManualClock,
     StubBackend,
     in_event_loop,
     proxy_with_backends,
@@ -167,3 +168,17 @@
             assert await scenario.run(retryable=False) is Outcome.SUCCESS
         assert len(backend.writers) == 3
         await wait_until(lambda: backend.disconnects.qsize() == 1)  # no more than two stay idle
+
+
+@in_event_loop
+async def test_connection_is_kept_where_its_attempt_ends_in_the_turn_in_which_it_took_it() -> None:
+    async with stub_backend(respond_ok) as backend:
+        clock = ManualClock()
+        scenario = PoolScenario(backend)
+        assert await clock.wait_for(scenario.run()) is Outcome.SUCCESS
+        attempt = scenario.start()
+        assert attempt.connect_task is not None, "the connection does not rest"
+        attempt.finish(Outcome.CANCELLED)
+        await clock.settle()
+        assert established_connections(scenario.pool) == 1
+        assert len(all_idle_connections(scenario.pool)) == 1
