Keep a resting connection whose attempt ends before it is used

Cause: `ConnectionPool._reuse_after_rest` gave the connection back where it was cancelled, but a task that is cancelled before its first step runs nothing: the connection was in no list any more, and counted against the limit.

Change: the end of the task gives it back, whether or not the task ever ran.

--- a/proxy/upstream/connection_pool.py
+++ b/proxy/upstream/connection_pool.py
@@ -90,7 +90,9 @@
         if connection is None:
             self._start_dial(attempt)
         elif now - connection.idle_since < REST_AFTER_RESPONSE:
-            attempt.connect_task = self._loop.create_task(self._reuse_after_rest(attempt, connection))
+            attempt.connect_task = task = self._loop.create_task(self._reuse_after_rest(attempt, connection))
+            # The task may be cancelled before its first step: no code of its own runs then.
+            task.add_done_callback(lambda ended: self.release(connection) if ended.cancelled() else None)
         else:
             connection.mark_reused(now)
             self._send(attempt, connection)
@@ -124,11 +126,7 @@
         A second response that comes late would be taken for the next request's own. The rest is shorter than
         a handshake.
         """
-        try:
-            await asyncio.sleep(connection.idle_since + REST_AFTER_RESPONSE - self._loop.time())
-        except asyncio.CancelledError:
-            self.release(connection)
-            raise
+        await asyncio.sleep(connection.idle_since + REST_AFTER_RESPONSE - self._loop.time())
         attempt.connect_task = None
         if connection.is_usable():
             connection.mark_reused(self._loop.time())
