Answer the requests that wait behind one that ends its connection

Cause: `DownstreamConnection.reject` cleared the queue. What waited there had been read, and its connection was closed with no answer, also where the first one was rejected only since there was no room for it.

Change: each request that waits gets a 503 of its own, which is true of any class, as none of them ran.

--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -329,16 +329,20 @@
     def reject(self, error: HttpError) -> None:
         """Answer a request that is not served, as the last one of the connection.
 
+        Requests that wait behind it have been read, and get their answer too: they did not run.
         Kept alive, a client that is rejected would come again at full speed. Only the sending side is closed:
         what still comes is read until the client closes, since a reset would take the response with it.
         """
         self.on_disconnect = None
         self._input_ended = True
-        self._record_close(CloseReason.REJECTED)
+        waiting = [request for request in self._queue if isinstance(request, ClientRequest)]
         self._queue.clear()
         self._account_for(0)
-        body = error.reason.encode() + b"\n"
-        self._transport.write(encode_response(error.status, b"", body, keep_alive=False))
+        self._record_close(CloseReason.REJECTED)
+        errors = [error] + [HttpError(503, "the connection ends") for _ in waiting]
+        for each in errors:
+            body = each.reason.encode() + b"\n"
+            self._transport.write(encode_response(each.status, b"", body, keep_alive=each is not errors[-1]))
         self._enter(CLOSING, self._loop.time() + eviction.CLOSING_TIMEOUT)
         self._end_sending()
 
