--- a/proxy/process.py
+++ b/proxy/process.py
@@ -15,7 +15,7 @@
 from proxy.discovery.endpoint_reader import EndpointReader
 from proxy.early_signal import EarlySignal
 from proxy.event_log import Event, EventLog
-from proxy.log import write_line
+from proxy.log import log_without_blocking, write_line
 from proxy.proxy import Proxy
 
 EXIT_OK = 0
@@ -62,6 +62,7 @@
     except ConfigError as fault:
         print(f"proxy: {fault}", file=sys.stderr)
         return EXIT_BAD_CONFIG
+    log_without_blocking()
     try:
         asyncio.run(serve(config, hangup))
     except OSError as fault:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -149,7 +149,7 @@
 
 
 def test_exception_in_the_decisions_fails_one_request_only(
-    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
     def raise_error(*_: object) -> None:
         raise RuntimeError("odd")
@@ -168,7 +168,7 @@
             assert not proxy.dispatcher.active_requests
 
     asyncio.run(run_requests())
-    assert capsys.readouterr().err.count("RuntimeError: odd") == 1  # the log is limited
+    assert capfd.readouterr().err.count("RuntimeError: odd") == 1  # the log is limited
 
 
 @in_event_loop
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import logging
 import os
 import sys
 from collections.abc import Awaitable, Callable, Iterator
@@ -11,7 +13,7 @@
 from loopback import in_event_loop
 
 from proxy.discovery.watch_connection import WatchConnection
-from proxy.log import TracebackLog
+from proxy.log import TracebackLog, log_without_blocking
 
 LONG_TEXT = "x" * 100_000  # more than a pipe takes
 
@@ -60,7 +62,15 @@
     connection.data_received(b"nonsense\r\n\r\n")
 
 
-@pytest.mark.parametrize("log", [log_traceback, receive_nonsense])
+async def report_from_the_event_loop() -> None:
+    """Let the event loop report a defect of a callback."""
+    log_without_blocking()
+
+    context = {"message": "a defect", "exception": RuntimeError(LONG_TEXT)}
+    asyncio.get_running_loop().call_exception_handler(context)
+
+
+@pytest.mark.parametrize("log", [log_traceback, receive_nonsense, report_from_the_event_loop])
 @pytest.mark.parametrize("is_read", [True, False])
 @in_event_loop
 async def test_nothing_that_is_logged_waits_for_a_reader(
@@ -75,6 +85,7 @@
                 os.write(pipe[1], b"x" * 4096)
     stderr = StandardError(pipe[1])
     monkeypatch.setattr(sys, "stderr", stderr)
+    monkeypatch.setattr(logging.root, "handlers", [])
     await log()
     text = "".join(stderr.written)
     assert bool(text) == is_read
