Soak: connections to discovery's agent come up at once

The dials scenario delayed connections to the agent too, which is on the proxy's own machine and answers at once by the protocol.

--- a/soak/run.py
+++ b/soak/run.py
@@ -102,7 +102,8 @@
     ports = free_ports(PORTS_PER_PROXY * proxies, np.random.default_rng(seed))
     listening, discovery = ports[:proxies], list(zip(ports[proxies::2], ports[proxies + 1 :: 2], strict=True))
     await endpoints.open_agents(discovery)
-    fleet = ProxyFleet(folder, recording, replace(scenario.faults, seed=seed), log_events)
+    faults = replace(scenario.faults, seed=seed, punctual_ports=tuple(ports[proxies:]))
+    fleet = ProxyFleet(folder, recording, faults, log_events)
     draw = random.Random(seed)
     for number, port in enumerate(listening):
         known, config = endpoints.snapshot(), settings(proxies, number)
--- a/soak/shim.py
+++ b/soak/shim.py
@@ -42,6 +42,7 @@
         short: Chance that a read or a write transfers a few bytes alone.
         slow_connect: Chance that a connection comes up late.
         max_connect_delay: The most seconds by which it is late.
+        punctual_ports: Where connections come up at once: discovery's agent is on the proxy's own machine.
         clock_step: Seconds by which the wall clock steps.
         clock_step_after: Seconds after the start at which it does.
     """
@@ -54,6 +55,7 @@
     short: float = 0.0
     slow_connect: float = 0.0
     max_connect_delay: float = 0.0
+    punctual_ports: tuple[int, ...] = ()
     clock_step: float = 0.0
     clock_step_after: float = 0.0
 
@@ -126,7 +128,8 @@
 
         async def slow_connect(loop: Any, sock: socket.socket, address: Any) -> None:
             self._dialled.add(sock)
-            if self._strikes(self._faults.slow_connect):
+            punctual = address[1] in self._faults.punctual_ports
+            if not punctual and self._strikes(self._faults.slow_connect):
                 await asyncio.sleep(self._rng.random() * self._faults.max_connect_delay)
             await connect(loop, sock, address)
 
