Test that fails: a watch reopened late after calls of the system that fail for a moment

Four connects that fail with EADDRNOTAVAIL, ENETUNREACH, ENOBUFS or ENFILE hold back a watch beyond the 0.25 s within which what it tells counts for drains.

--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
+from typing import Any
 
 import pytest
 from loopback import (
@@ -75,3 +78,30 @@
         discovery.send_bytes(line)
         assert await with_timeout(discovery.watch_requests.get()) == "/v1/servers?follow=1&since=8"
         assert len(proxy.endpoint_table.backends) == 1
+
+
+@pytest.mark.parametrize("error", [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.ENFILE])
+@in_event_loop
+async def test_watch_is_reopened_in_time_though_calls_of_the_system_fail_for_a_moment(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = ManualClock()
+    async with stub_discovery() as discovery, running_proxy([], discovery=discovery.port):
+        await clock.wait_until(lambda: discovery.watch_requests.qsize() == 1)
+        loop = asyncio.get_running_loop()
+        create_connection, failures = loop.create_connection, [error] * 4
+
+        async def fail_at_first(*args: Any, **options: Any) -> Any:
+            if failures:
+                number = failures.pop()
+                raise OSError(number, os.strerror(number))
+            return await create_connection(*args, **options)
+
+        monkeypatch.setattr(loop, "create_connection", fail_at_first)
+        assert discovery.writer is not None
+        discovery.writer.close()
+        await clock.wait_until(lambda: discovery.disconnects.qsize() == 1)
+        began_at = clock.now
+        while discovery.watch_requests.qsize() < 2:
+            assert clock.now < began_at + DRAIN_GRACE
+            await clock.advance(0.01)
