Log when watches begin and end, and what the soak's troubles do

An agent that is heard for under 0.3 s between two silences does not count as having told its proxy.

--- a/proxy/discovery/watch.py
+++ b/proxy/discovery/watch.py
@@ -14,6 +14,7 @@
 from proxy.config import Address
 from proxy.discovery.endpoint_reader import DiscoveredEndpoint, EndpointReader
 from proxy.discovery.watch_connection import Message, WatchConnection
+from proxy.event_log import Event, EventLog
 
 CONNECT_TIMEOUT = 0.25  # seconds: the agent is on this machine
 #: Seconds before a watch is opened anew that had responded, or that a failing call of the system kept from
@@ -36,7 +37,12 @@
     """Keeps one watch open, whatever happens to it, and hands on the updates that come on it."""
 
     def __init__(
-        self, address: Address, reader: EndpointReader, index: int, on_update: UpdateHandler
+        self,
+        address: Address,
+        reader: EndpointReader,
+        index: int,
+        on_update: UpdateHandler,
+        event_log: EventLog | None = None,
     ) -> None:
         """Prepare a watch; `open` starts it.
 
@@ -45,11 +51,13 @@
             reader: Reads the entries of the list.
             index: The version of the list that is known already.
             on_update: Takes the updates.
+            event_log: Takes when watches begin and end; by default nothing does.
         """
         self._address = address
         self._reader = reader
         self._index = index
         self._on_update = on_update
+        self._event_log = event_log or EventLog()
         self._task: asyncio.Task[None] | None = None
         self._previous_task: asyncio.Task[None] | None = None  # watches the address before, until ours lists
 
@@ -98,7 +106,15 @@
                 address.host.encode(),
             )
             connection = WatchConnection(self.on_message, request)
+            self._event_log.record(Event.WATCH_BEGUN, address=str(address), index=index)
             failed_here = await self._follow(address, connection)
+            self._event_log.record(
+                Event.WATCH_ENDED,
+                address=str(address),
+                responded=connection.has_responded,
+                listed=connection.has_listed,
+                failed_here=failed_here,
+            )
             if connection.has_listed:
                 index = self._index
             delay = REOPEN_DELAY if connection.has_responded or failed_here else RETRY_DELAY
--- a/proxy/event_log.py
+++ b/proxy/event_log.py
@@ -33,6 +33,8 @@
     CLIENT_LEFT = "client_left"
     CONNECTION_CLOSED = "connection_closed"
     ENDPOINTS_UPDATED = "endpoints_updated"
+    WATCH_BEGUN = "watch_begun"
+    WATCH_ENDED = "watch_ended"
     SHUTDOWN = "shutdown"
     VIOLATION = "violation"
     DROPPED = "dropped"  # lines of this log
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -64,7 +64,7 @@
         )
         self.endpoint_table = EndpointTable(self.pool)
         self.discovery = DiscoveryClient(
-            config.discovery, self.reader, config.cached_list["index"], self.on_update
+            config.discovery, self.reader, config.cached_list["index"], self.on_update, self.event_log
         )
         self.dispatcher = Dispatcher(
             self.balancer,
--- a/soak/run.py
+++ b/soak/run.py
@@ -121,6 +121,7 @@
         fleet.note_ended()
     finally:
         await fleet.stop_all(DEADLINE + KILL_DELAY)
+        (folder / "troubles.log").write_text("\n".join(troubles.lines) + "\n")
     endpoints.finish()
     endpoints.registry.close()
     recording.arrivals, lags = backends.call("results")
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -48,6 +48,7 @@
         self._rng = random.Random(seed)
         self._busy: set[int] = set()  # proxies that end or start just now
         self.counts: dict[str, int] = {}
+        self.lines: list[str] = []
         available: dict[str, Callable[[], Awaitable[None]]] = {
             "terminate": self._terminate,
             "kill": self._kill,
@@ -71,7 +72,13 @@
                 group.create_task(self._begin(name))
 
     async def _begin(self, name: str) -> None:
+        self._note(f"{name} begins")
         await self._kinds[name]()
+        self._note(f"{name} ends")
+
+    def _note(self, text: str) -> None:
+        """Keep a line on what happens, for whoever traces a violation."""
+        self.lines.append(f"{time.monotonic():.3f} {text}")
 
     def _free_proxy(self) -> int | None:
         """Return a proxy that neither ends nor starts, unless too many do already."""
@@ -86,6 +93,7 @@
         if proxy is None:
             return
         self._busy.add(proxy)
+        self._note(f"proxy {proxy} ends and starts")
         if self._rng.random() < 0.3:  # another configuration goes out just then
             self._world.proxies.reconfigure(proxy, version=str(self._rng.randrange(1000)))
         starting = asyncio.create_task(self._world.proxies.restart(proxy, kill_after))
@@ -109,6 +117,7 @@
         proxy, rng, proxies = self._free_proxy(), self._rng, self._world.proxies
         if proxy is None:
             return
+        self._note(f"proxy {proxy} reloads")
         for _ in range(rng.randint(1, 4)):
             if rng.random() < 0.2:
                 proxies.spoil_config(proxy)
@@ -126,6 +135,7 @@
         """Stop some processes for a moment each."""
         count = self._rng.randint(1, max(1, len(self._world.proxies) // 3))
         chosen = self._rng.sample(range(len(self._world.proxies)), count)
+        self._note(f"held up: {sorted(chosen)}")
         delays = [self._rng.uniform(0.05, 0.14) for _ in chosen]
         pairs = zip(chosen, delays, strict=True)
         await asyncio.gather(*(self._world.proxies.hold_up(proxy, seconds) for proxy, seconds in pairs))
@@ -135,9 +145,11 @@
         name = self._backend_in_service()
         if name is None:
             return
+        self._note(f"drains: {name}")
         self._world.endpoints.drain(name)
         await asyncio.sleep(self._rng.uniform(0.1, 3.0))
         port = self._world.backends.call("restart", name)
+        self._note(f"in service: {name}")
         self._world.endpoints.return_to_service(name, port)
 
     async def _hang(self) -> None:
@@ -157,8 +169,10 @@
         """Let discovery say nothing to some proxies."""
         count = self._rng.randint(1, len(self._world.proxies))
         chosen = self._rng.sample(range(len(self._world.proxies)), count)
+        self._note(f"silent: {sorted(chosen)}")
         self._world.endpoints.silence(chosen)
         await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        self._note(f"heard again: {sorted(chosen)}")
         self._world.endpoints.heal(chosen)
 
     async def _reset_watches(self) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -17,6 +17,7 @@
 DEDUPLICATION_WINDOW = 0.8  # seconds
 WARMUP = 1.0  # seconds
 FOREVER = float("inf")
+REACHABLE_TIME = 0.3  # seconds for which an agent has to speak for a proxy to count as told by it
 Entry = dict[str, Any]
 
 
@@ -133,6 +134,11 @@
     def silence(self, proxies: list[int]) -> None:
         """Let the agents of some proxies say nothing."""
         self._silent.update(proxies)
+        now = time.monotonic()
+        for told_at in self._draining.values():
+            for proxy in proxies:
+                if told_at[proxy] > now - REACHABLE_TIME:
+                    told_at[proxy] = FOREVER  # it had no time to ask
         self.registry.silence([name for proxy in proxies for name in _agents(proxy)])
 
     def heal(self, proxies: list[int]) -> None:
