Test that fails: a list without a length whose last line the connection's end ends

The same mistake as with backends' responses: the watch never takes an orderly end for the end of what it read, and calls discovery for the same list again and again.

--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import json
 import os
 from typing import Any
 
@@ -105,3 +106,19 @@
         while discovery.watch_requests.qsize() < 2:
             assert clock.now < began_at + DRAIN_GRACE
             await clock.advance(0.01)
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b""])
+@in_event_loop
+async def test_list_without_a_length_ends_with_its_connection(line_end: bytes) -> None:
+    listed = json.dumps({"index": 9, "snapshot": True, "endpoints": [endpoint_entry("a", f"{HOST}:1")]})
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + listed.encode() + line_end)
+        writer.close()
+
+    server = await asyncio.start_server(serve, HOST, 0)
+    async with running_proxy([], discovery=server.sockets[0].getsockname()[1]) as proxy:
+        await wait_until(lambda: len(proxy.endpoint_table.backends) == 1)
+    server.close()
