Take discovery's orderly end for the end of its last line

Cause: `WatchConnection` had no `eof_received`: the last line of an answer without a length and without a line end stayed in the buffer, and the list was called for again every 0.03 s.

Change: an orderly end ends the line that has begun; what can't be read then is refused as before.

--- a/proxy/discovery/watch_connection.py
+++ b/proxy/discovery/watch_connection.py
@@ -109,6 +109,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of the response."""
+        self._take(data)
+
+    def eof_received(self) -> None:
+        """Discovery has ended its sending in order: that ends the last line, and a list without a length."""
+        if self._messages.has_partial_line():
+            self._body.append(b"\n")
+            self._take(b"")
+
+    def _take(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
             self._deliver()
