--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -32,6 +32,7 @@
 HEALTH_POLL_INTERVAL = 0.03  # seconds
 HEALTH_REQUEST = b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"
 START_TIMEOUT = 15.0  # seconds
+HANGUP_BIT = 1 << (signal.SIGHUP - 1)  # in the signal masks of /proc
 MAX_LOG_LINES = 200  # kept of each process
 EVENT_LOG_VARIABLE = "RELAY_EVENT_LOG"
 
@@ -139,6 +140,19 @@
         if process is not None and process.returncode is None:
             process.send_signal(number)
 
+    def survives_hangup(self, proxy: int) -> bool:
+        """Return whether a proxy's process ignores or handles SIGHUP.
+
+        In its first moments the shell that runs the command does neither yet: nothing in the program can help.
+        """
+        process = self._slots[proxy].process
+        try:
+            status = Path(f"/proc/{process.pid}/status").read_text() if process is not None else ""
+        except OSError:
+            return False
+        masks = dict(line.split(":", 1) for line in status.splitlines())
+        return bool((int(masks.get("SigIgn", "0"), 16) | int(masks.get("SigCgt", "0"), 16)) & HANGUP_BIT)
+
     async def hold_up(self, proxy: int, seconds: float) -> None:
         """Stop a proxy's process for a moment."""
         life = self._slots[proxy].life
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -23,7 +23,6 @@
 SETTLING_TIME = 1.0  # seconds at a run's end in which no trouble begins
 CROWD_SIZE = 300  # idle clients
 MAX_HANG = 2.5  # seconds
-SHELL_START_TIME = 0.03  # seconds in which the shell that runs the command may not ignore SIGHUP yet
 MIN_IN_SERVICE = 4  # backends that stay in service
 MAX_RESTARTING_SHARE = 0.4  # of the proxies
 
@@ -100,8 +99,7 @@
         if self._rng.random() < 0.5:
             for _ in range(20):
                 await asyncio.sleep(self._rng.uniform(0.0, 0.4))
-                life = self._world.proxies.life(proxy)
-                if life is None or time.monotonic() - life.started_at > SHELL_START_TIME:
+                if self._world.proxies.survives_hangup(proxy):
                     self._world.proxies.signal(proxy, signal.SIGHUP)
         await starting
         self._busy.discard(proxy)
