--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -143,7 +143,7 @@
     def survives_hangup(self, proxy: int) -> bool:
         """Return whether a proxy's process ignores or handles SIGHUP.
 
-        In its first moments the shell that runs the command does neither yet: nothing in the program can help.
+        In its first moments the shell that runs the command does neither yet, which the program can't help.
         """
         process = self._slots[proxy].process
         try:
