Count the memory of requests that wait for as long as they wait

Cause: `_enforce_buffer_limits` counted the queue as bytes came, and nothing counted anew as `_serve_next` took a request up; the branch for a parse error overwrote the count with the parser's own bytes.

Change: one function says what a connection holds, and is asked at each of the three places.

Measured: both tests fail before and pass; 273 tests of clients' connections, shutdown and descriptors pass.

--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -237,7 +237,7 @@
         if parser.error is not None:
             self._input_ended = True
             self._queue.append(parser.error)
-            self._account_for(parser.buffered_bytes())
+            self._account_for(self._held_bytes())
         if self._queue:
             self._serve_next()
         elif parser.reading:
@@ -267,12 +267,8 @@
         limit; a flood of requests on one connection would do so alone, and overload backends.
         """
         parser, listener, queue = self._parser, self._listener, self._queue
-        buffered = parser.buffered_bytes()
         must_wait = self._state is SERVING or self._state is WAITING or self._write_paused
-        if must_wait:
-            buffered += sum(
-                request.buffered_bytes() for request in queue if isinstance(request, ClientRequest)
-            )
+        buffered = self._held_bytes() if must_wait else parser.buffered_bytes()
         self._account_for(buffered)
         if buffered and listener.buffered_bytes > listener.max_buffered_bytes:
             parser.error = HttpError(503, "too many bodies at once")
@@ -282,6 +278,11 @@
             queue.clear()
             parser.error = HttpError(400, "too many requests at once")
 
+    def _held_bytes(self) -> int:
+        """Return the bytes of an incomplete body and of all requests that wait."""
+        waiting = (request for request in self._queue if isinstance(request, ClientRequest))
+        return self._parser.buffered_bytes() + sum(request.buffered_bytes() for request in waiting)
+
     def _account_for(self, buffered_bytes: int) -> None:
         self._listener.buffered_bytes += buffered_bytes - self._buffered_bytes
         self._buffered_bytes = buffered_bytes
@@ -297,6 +298,7 @@
         if self._state is SERVING or self._state is CLOSED or self._write_paused:
             return
         request = self._queue.popleft()
+        self._account_for(self._held_bytes())
         if isinstance(request, HttpError):
             self.reject(request)
             return
