Answer each request that waits where their memory is used up, and log no reset as a defect

Two small ones, found beside each other:

- `_enforce_buffer_limits` dropped what waited on a connection behind one answer for all, though the memory is used up by other clients too.
Each request that was read gets its 503 now.
A flood of more than eight requests at once still gets its one error: clients send one at a time by the protocol, and test_unusual_request holds it.

--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -70,6 +70,7 @@
         self._written_since = 0.0  # the loop's time at which the latest response was written
         self._discarded_bytes = 0
         self._buffered_bytes = 0  # its part of what the listener counts
+        self._dropped_requests = 0  # that were read and forgotten, ahead of the error that ends the input
 
     # ---- the connection ------------------------------------------------------------------
 
@@ -273,11 +274,19 @@
         if buffered and listener.buffered_bytes > listener.max_buffered_bytes:
             parser.error = HttpError(503, "too many bodies at once")
             if must_wait:
-                queue.clear()
+                self._drop_waiting_requests()
         if len(queue) > MAX_PIPELINED_REQUESTS:
             queue.clear()
             parser.error = HttpError(400, "too many requests at once")
 
+    def _drop_waiting_requests(self) -> None:
+        """Forget the requests that wait but for their number: each is owed an answer.
+
+        The error that follows is the answer to the one that is not complete, or else to the last of them.
+        """
+        self._dropped_requests += len(self._queue) - (not self._parser.reading)
+        self._queue.clear()
+
     def _held_bytes(self) -> int:
         """Return the bytes of an incomplete body and of all requests that wait."""
         waiting = (request for request in self._queue if isinstance(request, ClientRequest))
@@ -337,14 +346,16 @@
         """
         self.on_disconnect = None
         self._input_ended = True
-        waiting = [request for request in self._queue if isinstance(request, ClientRequest)]
+        waiting = sum(isinstance(request, ClientRequest) for request in self._queue)
+        refusal = HttpError(503, "the connection ends")
+        errors = [refusal] * self._dropped_requests + [error] + [refusal] * waiting
         self._queue.clear()
         self._account_for(0)
         self._record_close(CloseReason.REJECTED)
-        errors = [error] + [HttpError(503, "the connection ends") for _ in waiting]
-        for each in errors:
+        for position, each in enumerate(errors, 1):
             body = each.reason.encode() + b"\n"
-            self._transport.write(encode_response(each.status, b"", body, keep_alive=each is not errors[-1]))
+            keep_alive = position < len(errors)
+            self._transport.write(encode_response(each.status, b"", body, keep_alive))
         self._enter(CLOSING, self._loop.time() + eviction.CLOSING_TIMEOUT)
         self._end_sending()
 
--- a/proxy/process.py
+++ b/proxy/process.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import os
 import signal
 import sys
+from typing import Any
 
 from proxy.config import Config, ConfigError, load
 from proxy.discovery.endpoint_reader import EndpointReader
@@ -23,6 +25,13 @@
 EXIT_BAD_CONFIG = 2
 
 
+def report_exception(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Report a defect of a callback, but not that a client has reset a connection whose sending just ends."""
+    fault = context.get("exception")
+    if not (isinstance(fault, OSError) and fault.errno == errno.ENOTCONN):
+        loop.default_exception_handler(context)
+
+
 async def serve(config: Config, hangup: EarlySignal | None = None) -> None:
     """Run until SIGTERM or SIGINT, then shut down gracefully.
 
@@ -31,6 +40,7 @@
         hangup: Whether a reload was asked for while the process started; the file may have changed since.
     """
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(report_exception)
     termination_requested = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, termination_requested.set)
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import os
 import sys
@@ -14,6 +15,7 @@
 
 from proxy.discovery.watch_connection import WatchConnection
 from proxy.log import TracebackLog, log_without_blocking
+from proxy.process import report_exception
 
 LONG_TEXT = "x" * 100_000  # more than a pipe takes
 
@@ -90,3 +92,14 @@
     text = "".join(stderr.written)
     assert bool(text) == is_read
     assert len(text) <= 4096  # what a pipe that can be written to takes at once
+
+
+@pytest.mark.parametrize(("number", "is_reported"), [(errno.ENOTCONN, False), (errno.EIO, True)])
+def test_reset_of_a_connection_whose_sending_ends_is_no_defect(
+    number: int, is_reported: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    context = {"message": "a callback failed", "exception": OSError(number, os.strerror(number))}
+    loop = asyncio.new_event_loop()
+    report_exception(loop, context)
+    loop.close()
+    assert bool(caplog.records) == is_reported
