--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import pytest
+from faulty_discovery import faulty_discovery, updates
 from loopback import (
     ManualClock,
     in_event_loop,
@@ -124,3 +125,14 @@
     async with running_proxy([], discovery=server.sockets[0].getsockname()[1]) as proxy:
         await wait_until(lambda: len(proxy.endpoint_table.backends) == 1)
     server.close()
+
+
+@in_event_loop
+async def test_list_that_can_not_be_read_is_not_called_for_all_the_time() -> None:
+    unreadable = {"index": 9, "snapshot": True, "endpoints": [endpoint_entry("a", f"{HOST}:1", "unknown")]}
+    clock = ManualClock()
+    async with faulty_discovery(response=updates(unreadable)) as discovery:
+        async with running_proxy([], discovery=discovery.port):
+            for _ in range(100):
+                await clock.advance(0.01)
+            assert 2 <= discovery.calls <= 20
