--- a/soak/backends.py
+++ b/soak/backends.py
@@ -178,7 +178,7 @@
         body = f"{arrival.id} by {arrival.backend}".encode()
         if rng.random() < behaviour.large:
             body += b" " * LARGE_BODY_BYTES
-        arrival.ran = Ran.WHOLE
+        arrival.ran = Ran.YES
         if 0.0 <= draw < behaviour.lengthless + behaviour.broken:
             arrival.has_length = False
             self._transport.write(b"HTTP/1.1 200 OK\r\n\r\n" + body)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -106,7 +106,7 @@
         for connection in (each for idle in self._idle.values() for each in idle):
             connection.close()
 
-    async def crowd(self, proxy: int, count: int, until: float) -> None:
+    async def hold_idle(self, proxy: int, count: int, until: float) -> None:
         """Let idle clients hold connections to one proxy."""
         held = []
         for _ in range(count):
@@ -218,7 +218,7 @@
             connection.writer.write(data[:cut])
             await asyncio.sleep(self._rng.uniform(0.0, 0.2))
             data = data[cut:]
-        # A client counts its time from its first byte: what it still waits is told by the request itself.
+        # A client counts its time from its first byte: what it still waits stands in the request itself.
         request.sent_at = request.began_at
         connection.writer.write(data)
         await connection.writer.drain()
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -15,9 +15,11 @@
 from soak.records import Arrival, Drain, Ending, ProxyLife, Ran, Recording, Request, Safety
 
 ANSWER_SLACK = 0.5  # seconds after its client's time by which a request has to be answered
-DRAIN_GRACE = 0.3  # seconds after a drain was told: the rule's 0.25, and 0.05 on sockets
+DRAIN_GRACE = 0.3  # seconds after the notification of a drain: the rule's 0.25, and 0.05 on sockets
 CLIENT_GONE_GRACE = 0.1  # seconds after a client has closed
-TOLD_SLACK = 0.15  # seconds by which the time that a backend is told may be over what the client has left
+TIMEOUT_SLACK = (
+    0.15  # seconds by which the timeout that a backend is given may be over what the client has left
+)
 WINDOW_SLACK = 0.05  # seconds
 READY_TIME = 10.0  # seconds in which nine in ten restarted processes have to be ready
 READY_SHARE = 0.9
@@ -41,7 +43,7 @@
     REJECTED_AFTER_RUN = "rejected_after_run"
     DRAIN = "drain"
     CLIENT_GONE = "client_gone"
-    TOLD_TOO_LONG = "told_too_long"
+    TIMEOUT_TOO_LONG = "timeout_too_long"
     CRASH = "crash"
     NOT_READY = "not_ready"
     BAD_CLIENT = "bad_client"
@@ -194,21 +196,25 @@
                 )
         if sent:
             client_time = max(each.sent_at + each.timeout for each in sent)
-            excess = arrival.told - (client_time - arrival.at)
-            if excess > TOLD_SLACK + slack:
-                yield Violation(Rule.TOLD_TOO_LONG, arrival.at, f"{arrival}: told {excess:.3f} s too long")
+            excess = arrival.timeout - (client_time - arrival.at)
+            if excess > TIMEOUT_SLACK + slack:
+                yield Violation(
+                    Rule.TIMEOUT_TOO_LONG, arrival.at, f"{arrival}: a timeout {excess:.3f} s too long"
+                )
 
     def _judge_drain(self, drain: Drain) -> Iterator[Violation]:
         for arrival in self._recording.arrivals:
             if arrival.backend != drain.backend or arrival.began_at >= drain.ended_at:
                 continue
-            told_at = drain.told_at.get(arrival.proxy)
-            if told_at is None:
+            notified_at = drain.notified_at.get(arrival.proxy)
+            if notified_at is None:
                 continue
-            late = arrival.began_at - told_at - DRAIN_GRACE
+            late = arrival.began_at - notified_at - DRAIN_GRACE
             if late > self._slack(arrival.began_at, arrival.proxy):
                 yield Violation(
-                    Rule.DRAIN, arrival.began_at, f"{arrival}: {late:.3f} s after the grace of {told_at:.3f}"
+                    Rule.DRAIN,
+                    arrival.began_at,
+                    f"{arrival}: {late:.3f} s after the grace of {notified_at:.3f}",
                 )
 
     # ---- processes -----------------------------------------------------------------------------
@@ -250,10 +256,10 @@
 
     def _judge_lengthless(self) -> Iterator[Violation]:
         """Judge whether half of the whole answers without a length were passed on to clients that waited."""
-        whole = [each for each in self._recording.arrivals if not each.has_length and each.completed]
+        completed = [each for each in self._recording.arrivals if not each.has_length and each.completed]
         waited = [
             request
-            for each in whole
+            for each in completed
             for request in self._requests.get(each.id, [])
             if request.proxy == each.proxy and request.ending is Ending.ANSWERED
         ]
--- a/soak/records.py
+++ b/soak/records.py
@@ -30,7 +30,7 @@
 class Ran(StrEnum):
     """What a backend did with an arrival."""
 
-    WHOLE = "whole"  # it made an answer
+    YES = "yes"  # it made an answer
     MAYBE = "maybe"  # it failed, or never answered: it may have run
     NEVER = "never"  # it promised that the request did not run
 
@@ -80,7 +80,7 @@
         backend: The backend's name.
         began_at: When its first byte was read.
         at: When its last byte was read.
-        told: Seconds that the proxy said it would wait.
+        timeout: Seconds that the proxy said it would wait.
         ran: What became of it.
         has_length: Whether the answer named its length.
         completed: Whether the whole answer was written and the connection ended in order, where that ends it.
@@ -91,7 +91,7 @@
     backend: str
     began_at: float
     at: float
-    told: float
+    timeout: float
     ran: Ran = Ran.MAYBE
     has_length: bool = True
     completed: bool = False
@@ -103,12 +103,12 @@
 
     Attributes:
         backend: Its name.
-        told_at: For each proxy, by number, when the proxy counts as told.
+        notified_at: For each proxy, by number, when the proxy counts as notified.
         ended_at: When the backend was in service again under this name; infinite if never.
     """
 
     backend: str
-    told_at: dict[int, float]
+    notified_at: dict[int, float]
     ended_at: float = float("inf")
 
 
--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -35,6 +35,6 @@
         "Clients send several requests at once, read slowly, and want connections closed.",
         mix=ClientMix(pipelined=0.4, slow_reader=0.2, last=0.2, leaves=0.02),
         behaviour=Behaviour(large=0.2),
-        troubles=("terminate", "crowd", "hold_up", "drain"),
+        troubles=("terminate", "idle_clients", "hold_up", "drain"),
     ),
 }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -21,7 +21,7 @@
 KILL_DELAY = 0.7  # seconds beyond the longest deadline at which SIGKILL comes after SIGTERM
 MEAN_PAUSE = 0.25  # seconds between the begins of two troubles
 SETTLING_TIME = 1.0  # seconds at a run's end in which no trouble begins
-CROWD_SIZE = 300  # idle clients
+IDLE_CLIENTS = 300  # idle clients
 MAX_HANG = 2.5  # seconds
 MIN_IN_SERVICE = 4  # backends that stay in service
 MAX_RESTARTING_SHARE = 0.4  # of the proxies
@@ -57,7 +57,7 @@
             "hang": self._hang,
             "silence": self._silence,
             "reset_watches": self._reset_watches,
-            "crowd": self._crowd,
+            "idle_clients": self._idle_clients,
         }
         self._kinds = {name: available[name] for name in kinds or available}
 
@@ -176,9 +176,9 @@
     async def _reset_watches(self) -> None:
         self._world.endpoints.reset_watches(self._rng.random() < 0.5)
 
-    async def _crowd(self) -> None:
+    async def _idle_clients(self) -> None:
         """Let idle clients hold connections to one proxy."""
         proxy = self._free_proxy()
         if proxy is not None:
             until = time.monotonic() + self._rng.uniform(0.5, 3.0)
-            await self._world.clients.crowd(proxy, CROWD_SIZE, until)
+            await self._world.clients.hold_idle(proxy, IDLE_CLIENTS, until)
--- a/soak/shim.py
+++ b/soak/shim.py
@@ -94,6 +94,7 @@
         dialled = self._dialled
 
         def failing(sock: socket.socket, *args: Any, **kwargs: Any) -> Any:
+            """Fail by chance, or call the method."""
             is_new = kwargs.get("fileno") is None  # `accept` wraps a descriptor that there is already
             # A client whose connection broke would be owed nothing: only those to others break.
             if is_new and (sock in dialled or not breaks) and self._strikes(chance):
@@ -111,10 +112,12 @@
         send, receive_into = socket.socket.send, socket.socket.recv_into
 
         def short_send(sock: socket.socket, data: Any, *args: Any) -> int:
+            """Send a few bytes by chance, or as many as can be sent."""
             short = self._strikes(self._faults.short)
             return send(sock, memoryview(data)[:MAX_SHORT_TRANSFER] if short else data, *args)
 
         def short_receive_into(sock: socket.socket, buffer: Any, *args: Any) -> int:
+            """Receive a few bytes by chance, or as many as there are."""
             short = self._strikes(self._faults.short)
             return receive_into(sock, memoryview(buffer)[:MAX_SHORT_TRANSFER] if short else buffer, *args)
 
@@ -127,6 +130,7 @@
         connect = loop_class.sock_connect
 
         async def slow_connect(loop: Any, sock: socket.socket, address: Any) -> None:
+            """Connect, after a while by chance."""
             self._dialled.add(sock)
             punctual = address[1] in self._faults.punctual_ports
             if not punctual and self._strikes(self._faults.slow_connect):
@@ -139,6 +143,7 @@
         read = time.time
 
         def stepped() -> float:
+            """Return the wall clock's time, with its step once that is due."""
             has_stepped = time.monotonic() - self._started_at > self._faults.clock_step_after
             return read() + (self._faults.clock_step if has_stepped else 0.0)
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,6 +1,7 @@
 """What a run tells its proxies: settings, endpoint lists and where discovery is.
 
-Owns the endpoint list's changes and when each proxy counts as told of them. Discovery is the emulator's.
+Owns the endpoint list's changes and when each proxy counts as notified of them. Discovery is the
+emulator's.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 DEDUPLICATION_WINDOW = 0.8  # seconds
 WARMUP = 1.0  # seconds
 FOREVER = float("inf")
-REACHABLE_TIME = 0.3  # seconds for which an agent has to speak for a proxy to count as told by it
+REACHABLE_TIME = 0.3  # seconds for which an agent has to speak for a proxy to count as notified
 Entry = dict[str, Any]
 
 
@@ -30,22 +31,10 @@
         keyed_is_safe: Whether the keyed class may be repeated; else it must not run twice.
         cancel: Whether attempts may be cancelled.
     """
-    common = {"Aim": 1.0, "HardLimit": DEADLINE, "LateWorth": 1.0, "Credit": 1.0}
-    keyed = Safety.KEYED if keyed_is_safe else Safety.NON_IDEMPOTENT
     return {
         "Instances": proxies,
         "Ordinal": ordinal,
-        "Services": [
-            common | {"Name": str(Safety.IDEMPOTENT), "Repeat": str(Safety.IDEMPOTENT)},
-            common
-            | {
-                "Name": str(Safety.KEYED),
-                "Repeat": str(keyed),
-                "Group": "all",
-                "Window": DEDUPLICATION_WINDOW,
-            },
-            common | {"Name": str(Safety.NON_IDEMPOTENT), "Repeat": str(Safety.NON_IDEMPOTENT)},
-        ],
+        "Services": _request_classes(keyed_is_safe),
         "ClientHabits": {"MarksRetry": True},
         "Bounds": {
             "Cancel": cancel,
@@ -66,6 +55,18 @@
     }
 
 
+def _request_classes(keyed_is_safe: bool) -> list[dict[str, Any]]:
+    """Return one class for each degree of safety, named for it."""
+    keyed = Safety.KEYED if keyed_is_safe else Safety.NON_IDEMPOTENT
+    repeats: dict[Safety, dict[str, Any]] = {
+        Safety.IDEMPOTENT: {"Repeat": str(Safety.IDEMPOTENT)},
+        Safety.KEYED: {"Repeat": str(keyed), "Group": "all", "Window": DEDUPLICATION_WINDOW},
+        Safety.NON_IDEMPOTENT: {"Repeat": str(Safety.NON_IDEMPOTENT)},
+    }
+    common: dict[str, Any] = {"Aim": 1.0, "HardLimit": DEADLINE, "LateWorth": 1.0, "Credit": 1.0}
+    return [common | {"Name": str(safety)} | repeat for safety, repeat in repeats.items()]
+
+
 class EndpointList:
     """The endpoint list of a run, as discovery has it."""
 
@@ -76,8 +77,7 @@
         self._recording = recording
         self._proxies = range(proxies)
         self._silent: set[int] = set()
-        self._untold: list[dict[int, float]] = []  # of drains that some proxies can't have been told of
-        self._draining: dict[str, dict[int, float]] = {}
+        self._draining: dict[str, dict[int, float]] = {}  # when each proxy was notified, by backend
         self.registry = Registry(self._entries.values())
 
     @staticmethod
@@ -106,7 +106,7 @@
         return [name for name, entry in self._entries.items() if entry["status"] == "in_service"]
 
     async def open_agents(self, ports: list[tuple[int, int]]) -> None:
-        """Open discovery for each proxy, at the two places that it may be told of."""
+        """Open discovery for each proxy, at the two places where it may be."""
         for proxy, pair in enumerate(ports):
             for name, port in zip(_agents(proxy), pair, strict=True):
                 await self.registry.open_endpoint(name, port)
@@ -115,39 +115,39 @@
         """Let a backend want nothing new."""
         self._publish(name, status="terminating")
         now = time.monotonic()
-        told_at = {proxy: FOREVER if proxy in self._silent else now for proxy in self._proxies}
-        self._draining[name] = told_at
+        notified_at = {proxy: FOREVER if proxy in self._silent else now for proxy in self._proxies}
+        self._draining[name] = notified_at
 
     def return_to_service(self, name: str, port: int) -> None:
         """Let a backend be in service again, as another process at another port."""
-        told_at = self._draining.pop(name, None)
-        if told_at is not None:
-            self._recording.drains.append(Drain(name, told_at, time.monotonic()))
+        notified_at = self._draining.pop(name, None)
+        if notified_at is not None:
+            self._recording.drains.append(Drain(name, notified_at, time.monotonic()))
         started_ms = int(time.time() * 1000)
         self._publish(name, status="in_service", address=f"{HOST}:{port}", since_ms=started_ms)
 
     def finish(self) -> None:
         """Record the drains that have not ended."""
-        for name, told_at in self._draining.items():
-            self._recording.drains.append(Drain(name, told_at))
+        for name, notified_at in self._draining.items():
+            self._recording.drains.append(Drain(name, notified_at))
 
     def silence(self, proxies: list[int]) -> None:
         """Let the agents of some proxies say nothing."""
         self._silent.update(proxies)
         now = time.monotonic()
-        for told_at in self._draining.values():
+        for notified_at in self._draining.values():
             for proxy in proxies:
-                if told_at[proxy] > now - REACHABLE_TIME:
-                    told_at[proxy] = FOREVER  # it had no time to ask
+                if notified_at[proxy] > now - REACHABLE_TIME:
+                    notified_at[proxy] = FOREVER  # it had no time to ask
         self.registry.silence([name for proxy in proxies for name in _agents(proxy)])
 
     def heal(self, proxies: list[int]) -> None:
-        """Let these agents speak again: what they have counts as told from now on."""
+        """Let these agents speak again: their proxies count as notified of it from now on."""
         now = time.monotonic()
         self._silent.difference_update(proxies)
-        for told_at in self._draining.values():
+        for notified_at in self._draining.values():
             for proxy in proxies:
-                told_at[proxy] = min(told_at[proxy], now)
+                notified_at[proxy] = min(notified_at[proxy], now)
         self.registry.heal([name for proxy in proxies for name in _agents(proxy)])
 
     def reset_watches(self, forget_log: bool) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,8 +17,8 @@
         for entry in KNOWN_RED:
             if entry.names(item.nodeid):
                 item.add_marker(pytest.mark.xfail(strict=True, reason=f"{entry.cause} ({entry.issue})"))
-    is_whole_run = config.args == config.getini("testpaths")
-    missing = known_red.unmatched(KNOWN_RED, [item.nodeid for item in items]) if is_whole_run else []
+    is_complete_run = config.args == config.getini("testpaths")
+    missing = known_red.unmatched(KNOWN_RED, [item.nodeid for item in items]) if is_complete_run else []
     if missing:
         raise pytest.UsageError(f"KNOWN-RED.txt names no test: {', '.join(entry.test for entry in missing)}")
 
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -37,9 +37,9 @@
     return replace(answered(), ending=ending, ended_at=at, status=0)
 
 
-def arrival(at: float = 100.1, told: float = 0.9, ran: Ran = Ran.WHOLE, backend: str = "a") -> Arrival:
+def arrival(at: float = 100.1, timeout: float = 0.9, ran: Ran = Ran.YES, backend: str = "a") -> Arrival:
     """Return the arrival of that request at a backend."""
-    return Arrival("r1", 0, backend, at, at, told, ran, completed=True)
+    return Arrival("r1", 0, backend, at, at, timeout, ran, completed=True)
 
 
 def life(**changed: object) -> ProxyLife:
@@ -95,7 +95,7 @@
         Rule.LOST,
         lambda: recording([replace(ended(Ending.CLOSED, 100.3), new_connection=False)]),
         lambda: recording(
-            [replace(ended(Ending.CLOSED, 100.3), new_connection=False)], [arrival(100.4, told=0.5)]
+            [replace(ended(Ending.CLOSED, 100.3), new_connection=False)], [arrival(100.4, timeout=0.5)]
         ),
     ),
     "killed though it was told to end": (
@@ -137,7 +137,7 @@
     "repeated after the window": (
         Rule.REPEATED,
         lambda: recording(keyed(), [arrival(), arrival(100.75)]),
-        lambda: recording(keyed(), [arrival(), arrival(100.55, told=0.4)]),
+        lambda: recording(keyed(), [arrival(), arrival(100.55, timeout=0.4)]),
     ),
     "drain": (
         Rule.DRAIN,
@@ -148,17 +148,17 @@
     ),
     "client gone": (
         Rule.CLIENT_GONE,
-        lambda: recording([ended(Ending.LEFT, 100.1)], [arrival(100.3, told=0.7)]),
+        lambda: recording([ended(Ending.LEFT, 100.1)], [arrival(100.3, timeout=0.7)]),
         lambda: recording(
             [ended(Ending.LEFT, 100.1)],
-            [arrival(100.3, told=0.7)],
+            [arrival(100.3, timeout=0.7)],
             lives=[life(held_up=[Span(100.1, 100.24)])],
         ),
     ),
-    "told too long": (
-        Rule.TOLD_TOO_LONG,
-        lambda: recording(arrivals=[arrival(100.5, told=0.8)]),
-        lambda: recording(arrivals=[arrival(100.5, told=0.6)]),
+    "timeout too long": (
+        Rule.TIMEOUT_TOO_LONG,
+        lambda: recording(arrivals=[arrival(100.5, timeout=0.8)]),
+        lambda: recording(arrivals=[arrival(100.5, timeout=0.6)]),
     ),
     "crash": (
         Rule.CRASH,
