Ignore signals once the last answer is given

Cause: the event loop gives SIGHUP and SIGTERM back their default action as it closes, so that one which comes while the interpreter ends makes the exit code say that a signal ended the process (found by reading; the soak has not shown it).

Measured: the test shows the three signals ignored after the loop has closed; without the change they have their default action, which the event loop's documentation says.

--- a/proxy/dispatcher.py
+++ b/proxy/dispatcher.py
@@ -240,9 +240,9 @@
             partial(self._send_refusal, active, len(active.attempts)),
             partial(self._on_written, active),
         )
-        self._log(
-            Event.ATTEMPT_STARTED, active, attempt=len(active.attempts), endpoint=str(attempt.backend.address)
-        )
+        if self._event_log.enabled:
+            address = str(attempt.backend.address)
+            self._log(Event.ATTEMPT_STARTED, active, attempt=len(active.attempts), endpoint=address)
         active.attempts.append(attempt)
         if active.is_awaited():
             self._pool.start(attempt)
--- a/proxy/process.py
+++ b/proxy/process.py
@@ -23,6 +23,7 @@
 EXIT_OK = 0
 EXIT_CAN_NOT_LISTEN = 1
 EXIT_BAD_CONFIG = 2
+TERMINATION_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def report_exception(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
@@ -42,7 +43,7 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(report_exception)
     termination_requested = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in TERMINATION_SIGNALS:
         loop.add_signal_handler(number, termination_requested.set)
     proxy = Proxy(config, EventLog.from_environment(os.environ))
     loop.add_signal_handler(signal.SIGHUP, proxy.reloader.reload, os.environ)
@@ -64,6 +65,22 @@
     proxy.event_log.flush()
 
 
+def ignore_signals() -> None:
+    """Ignore the signals that `serve` handled: all is done, and one that comes now must not look like a crash.
+
+    Call it in the event loop, which would else give them back their default action, to end the process.
+    """
+    loop = asyncio.get_running_loop()
+    for number in (*TERMINATION_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
+async def _serve_to_the_end(config: Config, hangup: EarlySignal | None) -> None:
+    await serve(config, hangup)
+    ignore_signals()
+
+
 def run(hangup: EarlySignal | None = None) -> int:
     """Run a proxy and return the process's exit code; `hangup` is as for `serve`."""
     try:
@@ -74,7 +91,7 @@
         return EXIT_BAD_CONFIG
     log_without_blocking()
     try:
-        asyncio.run(serve(config, hangup))
+        asyncio.run(_serve_to_the_end(config, hangup))
     except OSError as fault:
         print(f"proxy: {config.listen}: {fault}", file=sys.stderr)
         return EXIT_CAN_NOT_LISTEN
--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -1,4 +1,4 @@
-"""Signals that reach a process while it starts, each at a point of the start that the test forces.
+"""Signals that reach a process while it starts or has just ended its work, at points that the test forces.
 
 The configuration file is a named pipe: the process waits in reading it until the test writes it.
 """
@@ -24,6 +24,8 @@
 from proxy_inputs import HEALTH_REQUEST, HOST, MAX_WAIT, endpoint_entry
 from proxy_process import PROJECT_ROOT, environment_without_proxy, wait_until_ready
 
+from proxy.process import TERMINATION_SIGNALS, ignore_signals
+
 RUN_COMMAND = tomllib.loads((PROJECT_ROOT / "deploy" / "balancer.toml").read_text())["run"]
 DEPLOYED_INTERPRETER = ".venv/bin/python"
 HANGUP_BIT = 1 << (signal.SIGHUP - 1)  # in the signal masks of /proc
@@ -124,3 +126,20 @@
         reads.cancel()
         process.send_signal(signal.SIGTERM)
         assert await with_timeout(process.wait()) == 0
+
+
+def test_signals_after_the_last_answer_do_not_end_the_process_by_themselves() -> None:
+    numbers = (*TERMINATION_SIGNALS, signal.SIGHUP)
+    before = {number: signal.getsignal(number) for number in numbers}
+
+    async def end() -> None:
+        for number in numbers:
+            asyncio.get_running_loop().add_signal_handler(number, lambda: None)
+        ignore_signals()
+
+    try:
+        asyncio.run(end())
+        assert [signal.getsignal(number) for number in numbers] == [signal.SIG_IGN] * len(numbers)
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
