--- a/proxy/process.py
+++ b/proxy/process.py
@@ -66,7 +66,7 @@
 
 
 def ignore_signals() -> None:
-    """Ignore the signals that `serve` handled: all is done, and one that comes now must not look like a crash.
+    """Ignore the signals that `serve` handled: all is done, and one that comes now must look like no crash.
 
     Call it in the event loop, which would else give them back their default action, to end the process.
     """
