--- a/tests/test_attempt_races.py
+++ b/tests/test_attempt_races.py
@@ -165,3 +165,25 @@
             assert backend_b.received.qsize() == (change == "drained")
             if change != "disconnected":
                 assert status_of(await client.response()) == (200 if change == "drained" else 503)
+
+
+@in_event_loop
+async def test_connection_rests_for_longer_where_responses_were_seen_to_come_late() -> None:
+    clock = ManualClock()
+    async with proxy_with_backends(respond_ok) as (proxy, [backend]):
+        client = await clock.wait_for(proxy.connect())
+        assert status_of(await clock.wait_for(client.request(post_request(1)))) == 200
+        await clock.advance(0.008)
+        backend.writers[0].write(LATE_RESPONSE)  # a second response, on a connection that is idle
+        await clock.wait_until(lambda: established_connections(proxy.pool) == 0)
+
+        assert status_of(await clock.wait_for(client.request(post_request(2)))) == 200
+        client.writer.write(post_request(3))
+        await clock.wait_until(lambda: len(proxy.dispatcher.active_requests) == 1)
+        await clock.advance(0.012)
+        assert backend.received.qsize() == 2
+        backend.writers[1].write(LATE_RESPONSE)
+        await clock.wait_until(lambda: established_connections(proxy.pool) == 0)
+        await clock.advance(0.01)
+        assert (await clock.wait_for(client.response())).endswith(b"done")
+        assert len(backend.writers) == 3
