Let connections rest for twice as long as second responses were seen to be late

Cause: the rest of 10 ms after a response is a constant, while how late a backend's second response comes is the backend's and the machine's. Nothing in such a response tells it from the next one, and the body does not name its request.

Ruled out: a proxy that is late itself (what has come by then is unread, and `is_usable` closes the connection); the rest of the way of the request (the log has one attempt, written 11.2 ms after the response before it).

Change: `KeepalivePolicy` notes how long behind a response bytes came on idle connections, in the last minute, and connections rest for twice the longest of it, from 10 ms up to 50 ms. Where no such bytes come nothing changes. The first one that is more than 10 ms late still can't be told: that is open.

--- a/proxy/upstream/connection.py
+++ b/proxy/upstream/connection.py
@@ -97,6 +97,8 @@
         """Take what has come into the buffer."""
         attempt = self._attempt
         if attempt is None:  # a response that nobody asked for must not serve the next request
+            now = self._pool.now()
+            self._pool.keepalive_policy.record_late_bytes(now, now - self.idle_since)
             self.abort()
             return
         self._response_started = True
--- a/proxy/upstream/connection_pool.py
+++ b/proxy/upstream/connection_pool.py
@@ -28,7 +28,6 @@
 MAX_IDLE_PER_BACKEND = 2  # idle connections that this proxy keeps to one backend
 FLEET_IDLE_PER_BACKEND = 8.0  # those that all proxies together keep to one: its connection table is finite
 PEAK_HALF_LIFE = 10.0  # seconds after which the peak of connections in use counts half
-REST_AFTER_RESPONSE = 0.01  # seconds in which something may come behind a response: a second one, or a close
 
 
 class ConnectionPool:
@@ -89,7 +88,7 @@
         connection = self._take_idle(attempt, now)
         if connection is None:
             self._start_dial(attempt)
-        elif now - connection.idle_since < REST_AFTER_RESPONSE:
+        elif now - connection.idle_since < self.keepalive_policy.rest_time(now):
             attempt.connect_task = task = self._loop.create_task(self._reuse_after_rest(attempt, connection))
             # The task may be cancelled before its first step: no code of its own runs then.
             task.add_done_callback(lambda ended: self.release(connection) if ended.cancelled() else None)
@@ -104,12 +103,13 @@
         """
         idle = attempt.backend.idle_connections
         oldest = now - self.keepalive_policy.max_idle_time(now, attempt.retryable)
+        rest_time = self.keepalive_policy.rest_time(now)
         resting: UpstreamConnection | None = None
         for connection in reversed(idle.copy()):
             recent = connection.idle_since >= oldest
             if not recent and not attempt.retryable:
                 break  # retryable attempts may still use it
-            if recent and now - connection.idle_since < REST_AFTER_RESPONSE:
+            if recent and now - connection.idle_since < rest_time:
                 resting = connection
                 continue
             self._remove_idle(connection)
@@ -126,7 +126,8 @@
         A second response that comes late would be taken for the next request's own. The rest is shorter than
         a handshake.
         """
-        await asyncio.sleep(connection.idle_since + REST_AFTER_RESPONSE - self._loop.time())
+        now = self._loop.time()
+        await asyncio.sleep(connection.idle_since + self.keepalive_policy.rest_time(now) - now)
         attempt.connect_task = None
         if connection.is_usable():
             connection.mark_reused(self._loop.time())
--- a/proxy/upstream/keepalive_policy.py
+++ b/proxy/upstream/keepalive_policy.py
@@ -1,6 +1,7 @@
-"""How long an idle connection may be reused, learnt from how earlier reuses fared.
+"""After which idle times a connection may be reused, learnt from how earlier ones fared.
 
-It owns the counts of reuses and of those that failed. It holds no connections: `ConnectionPool` asks it.
+It owns the counts of reuses and of those that failed, and how late responses came that nobody waited for. It
+holds no connections: `ConnectionPool` asks it.
 """
 
 from __future__ import annotations
@@ -24,6 +25,11 @@
 PRESUMED_ALIVE = 1.0  # seconds after a response in which non-retryable attempts may reuse without evidence
 MIN_REUSES_FOR_PROOF = 5.0  # reuses after at least some idle time that prove it safe for non-retryable ones
 
+REST_AFTER_RESPONSE = 0.01  # seconds in which something may come behind a response: a second one, or a close
+MAX_REST = 0.05  # seconds: what comes later than that is no second response
+REST_PER_DELAY = 2.0  # multiple of the longest delay of such a response of late for which connections rest
+DELAY_MEMORY = 60.0  # seconds for which such a delay counts
+
 
 class KeepalivePolicy:
     """Limits the idle time after which connections are reused.
@@ -34,12 +40,30 @@
     each request.
     """
 
-    __slots__ = ("_failures", "_halved_at", "_reuses")
+    __slots__ = ("_failures", "_halved_at", "_longest_delay", "_longest_delay_at", "_reuses")
 
     def __init__(self, now: float) -> None:
         self._reuses = [0.0] * (len(INTERVAL_BOUNDS) + 1)
         self._failures = [0.0] * (len(INTERVAL_BOUNDS) + 1)
         self._halved_at = now
+        self._longest_delay = 0.0  # of bytes behind a complete response
+        self._longest_delay_at = now
+
+    def record_late_bytes(self, now: float, delay: float) -> None:
+        """Note bytes that came on an idle connection so many seconds behind its response."""
+        if delay <= MAX_REST and delay >= self._delay_of_late(now):
+            self._longest_delay, self._longest_delay_at = delay, now
+
+    def rest_time(self, now: float) -> float:
+        """For how many seconds a connection rests after a response before it carries another attempt.
+
+        A second response that comes late would be taken for the next request's own. Nothing in it tells, so
+        what was seen of backends decides how late that may be.
+        """
+        return min(MAX_REST, max(REST_AFTER_RESPONSE, REST_PER_DELAY * self._delay_of_late(now)))
+
+    def _delay_of_late(self, now: float) -> float:
+        return self._longest_delay if now - self._longest_delay_at < DELAY_MEMORY else 0.0
 
     def record_reuse(self, idle_time: float) -> None:
         """Count a connection that is reused after so many idle seconds."""
--- a/tests/test_retry_races.py
+++ b/tests/test_retry_races.py
@@ -23,7 +23,7 @@
 
 from balancer.settings import Settings
 from balancer.settings_reader import read_settings
-from proxy.upstream.connection_pool import REST_AFTER_RESPONSE
+from proxy.upstream.keepalive_policy import REST_AFTER_RESPONSE
 
 ERROR_RESPONSE = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
 WINDOW = 1.0  # seconds in which backends discard the repeat of a keyed request
--- a/tests/test_upstream_connection_pool.py
+++ b/tests/test_upstream_connection_pool.py
@@ -31,7 +31,7 @@
 
 from balancer.events import Outcome
 from balancer.settings_reader import read_settings
-from proxy.upstream import connection_pool
+from proxy.upstream import connection_pool, keepalive_policy
 
 
 @pytest.mark.parametrize(
@@ -98,7 +98,7 @@
         await scenario.run_side_by_side(2)
         [older, newer] = scenario.backend.idle_connections
         for connection in (older, newer):
-            connection.idle_since -= connection_pool.REST_AFTER_RESPONSE
+            connection.idle_since -= keepalive_policy.REST_AFTER_RESPONSE
         scenario.start()
         assert scenario.backend.idle_connections == [older]
         assert await scenario.next_outcome() is Outcome.SUCCESS
