--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -163,18 +163,13 @@
         if life is not None:
             life.held_up.append(Span(begin, time.monotonic()))
 
-    async def restart(self, proxy: int, kill_after: float | None) -> None:
-        """End a proxy and start it again.
+    async def stop(self, proxy: int, kill_after: float | None) -> None:
+        """End a proxy's process.
 
         Args:
             proxy: Its number.
             kill_after: Seconds from SIGTERM to SIGKILL; None kills at once.
         """
-        await self.stop(proxy, kill_after)
-        await self.start(proxy)
-
-    async def stop(self, proxy: int, kill_after: float | None) -> None:
-        """End a proxy's process; the arguments are those of `restart`."""
         slot = self._slots[proxy]
         process, life = slot.process, slot.life
         if process is None or life is None:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -95,7 +95,7 @@
         self._note(f"proxy {proxy} ends and starts")
         if self._rng.random() < 0.3:  # another configuration goes out just then
             self._world.proxies.reconfigure(proxy, version=str(self._rng.randrange(1000)))
-        starting = asyncio.create_task(self._world.proxies.restart(proxy, kill_after))
+        starting = asyncio.create_task(self._end_and_start(proxy, kill_after))
         if self._rng.random() < 0.5:
             for _ in range(20):
                 await asyncio.sleep(self._rng.uniform(0.0, 0.4))
@@ -104,6 +104,11 @@
         await starting
         self._busy.discard(proxy)
 
+    async def _end_and_start(self, proxy: int, kill_after: float | None) -> None:
+        await self._world.proxies.stop(proxy, kill_after)
+        self._world.proxies.reconfigure(proxy, known=self._world.endpoints.known_to(proxy))
+        await self._world.proxies.start(proxy)
+
     async def _terminate(self) -> None:
         await self._restart(min(DEADLINE, 3.0) + KILL_DELAY)
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -76,7 +76,7 @@
         }
         self._recording = recording
         self._proxies = range(proxies)
-        self._silent: set[int] = set()
+        self._silent: dict[int, dict[str, Any]] = {}  # what silent agents' proxies have heard last, by proxy
         self._draining: dict[str, dict[int, float]] = {}  # when each proxy was notified, by backend
         self.registry = Registry(self._entries.values())
 
@@ -101,6 +101,10 @@
             "endpoints": list(self._entries.values()),
         }
 
+    def known_to(self, proxy: int) -> dict[str, Any]:
+        """Return the list as a proxy last held it, which is what its next process is started with."""
+        return self._silent.get(proxy) or self.snapshot()
+
     def names(self) -> list[str]:
         """Return the names of the backends that are in service."""
         return [name for name, entry in self._entries.items() if entry["status"] == "in_service"]
@@ -133,7 +137,8 @@
 
     def silence(self, proxies: list[int]) -> None:
         """Let the agents of some proxies say nothing."""
-        self._silent.update(proxies)
+        for proxy in proxies:
+            self._silent.setdefault(proxy, self.snapshot())
         now = time.monotonic()
         for notified_at in self._draining.values():
             for proxy in proxies:
@@ -144,7 +149,8 @@
     def heal(self, proxies: list[int]) -> None:
         """Let these agents speak again: their proxies count as notified of it from now on."""
         now = time.monotonic()
-        self._silent.difference_update(proxies)
+        for proxy in proxies:
+            self._silent.pop(proxy, None)
         for notified_at in self._draining.values():
             for proxy in proxies:
                 notified_at[proxy] = min(notified_at[proxy], now)
