Give the requests that wait, and what the system knows of a client's socket, modules of their own

Change: `request_queue.py` holds what waits and is owed an answer, `client_socket.py` answers what was not read or written yet, with one poller for a connection's life instead of one for each question. Behaviour stays.

--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -1,15 +1,14 @@
 """One client's connection: its requests are read, taken up one after another, and answered.
 
-It owns the connection's state, the requests that wait on it, and the order of their responses. Parsing is
-`request_parser`'s, the limits on time and number are `eviction`'s, and what becomes of a request that is to
-be forwarded is up to the listener's `on_request`.
+It owns the connection's state, the limits on what waits on it, and the order of responses. Parsing is
+`request_parser`'s, the requests that wait are in `request_queue`, `client_socket` tells what was not read or
+written yet, the limits on time and number are `eviction`'s, and what becomes of a request that is to be
+forwarded is up to the listener's `on_request`.
 """
 
 from __future__ import annotations
 
 import asyncio
-import select
-from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from math import inf
@@ -17,6 +16,7 @@
 
 from proxy.downstream import eviction
 from proxy.downstream.classification import classify
+from proxy.downstream.client_socket import ClientSocket
 from proxy.downstream.connection_state import (
     CLOSED,
     CLOSING,
@@ -30,6 +30,7 @@
 )
 from proxy.downstream.errors import HttpError
 from proxy.downstream.request_parser import ClientRequest, RequestParser
+from proxy.downstream.request_queue import RequestQueue
 from proxy.downstream.response_writer import encode_response
 from proxy.event_log import Event
 from proxy.invariants import Invariant
@@ -39,8 +40,6 @@
 
 MAX_PIPELINED_REQUESTS = 8  # requests that may wait behind another: clients send one at a time
 MAX_DISCARDED_BYTES = 64 << 20  # bytes read and dropped behind a rejection before the connection is aborted
-#: What the system reports of a socket whose peer has closed it, or has ended its sending.
-DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class DownstreamConnection(asyncio.BufferedProtocol):
@@ -59,18 +58,15 @@
         self._connections = listener.connections
         self._loop = asyncio.get_running_loop()
         self._state: ConnectionState = NEW
-        self._queue: deque[ClientRequest | HttpError] = deque()  # an error is always the last
+        self._queue = RequestQueue()
         self._parser = RequestParser(self._queue.append)
         self._idle_timeout = eviction.MIN_IDLE_TIMEOUT  # longer once a request of it was forwarded
         self._keep_alive = False  # whether the client wants to go on after the request that is served
         self._write_paused = False  # the client does not read its responses
         self._input_ended = False  # a rejection is queued or written: what still comes is discarded
         self._reading_stopped = False  # the proxy shuts down, and an answer is owed already
-        self._unwritten_bytes = 0  # of responses, when that was last looked at
-        self._written_since = 0.0  # the loop's time at which the latest response was written
         self._discarded_bytes = 0
         self._buffered_bytes = 0  # its part of what the listener counts
-        self._dropped_requests = 0  # that were read and forgotten, ahead of the error that ends the input
 
     # ---- the connection ------------------------------------------------------------------
 
@@ -78,6 +74,7 @@
         """Take up the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._socket = ClientSocket(transport)
         now = self._listener.last_accepted_at = self._loop.time()
         self._connections.open.add(self)
         self._enter(NEW, now + eviction.FIRST_REQUEST_TIMEOUT)
@@ -132,7 +129,7 @@
         """
         self._record_close(reason)
         self._enter(CLOSING, self._loop.time() + eviction.CLOSING_TIMEOUT)
-        if self._reading_stopped and (self.is_writing() or self._poll(select.POLLIN)):
+        if self._reading_stopped and (self.is_writing() or self._socket.has_unread_input()):
             self._end_sending()
         else:
             self._transport.close()
@@ -161,43 +158,27 @@
                 unwritten=unwritten,
                 peer=str(self._transport.get_extra_info("peername")),
             )
-        for request in self._queue if reason is not CloseReason.CLIENT_LEFT else ():
-            if isinstance(request, ClientRequest):
-                request_id = request.headers.get(b"x-request-id", b"")
-                self._listener.monitor.report(Invariant.DROPPED_UNANSWERED, request_id)
+        if reason is CloseReason.CLIENT_LEFT:
+            return
+        for request in self._queue.requests():
+            request_id = request.headers.get(b"x-request-id", b"")
+            self._listener.monitor.report(Invariant.DROPPED_UNANSWERED, request_id)
 
     def has_disconnected(self) -> bool:
-        """Return whether the client has closed its connection, whether or not that was read yet.
-
-        While the loop was busy, or behind bytes that are still unread, a close waits in the socket; asking
-        the system for it keeps attempts for nobody away from backends. A client that ends only its sending
-        looks the same, and counts as disconnected too.
-        """
-        return self._transport.is_closing() or bool(self._poll(select.POLLRDHUP) & DISCONNECT_EVENTS)
+        """Return whether the client has closed its connection, whether or not that was read yet."""
+        return self._socket.has_disconnected()
 
     def is_abandoned(self) -> bool:
         """Return whether the client has left, where nothing is read that would tell."""
         return self._reading_stopped and not self._transport.is_closing() and self.has_disconnected()
 
     def is_writing(self) -> bool:
-        """Return whether a part of a response is not written yet: the client reads it slowly."""
-        return self._transport.get_write_buffer_size() > 0
+        """Return whether a part of a response is not written yet."""
+        return self._socket.is_writing()
 
     def is_read_on(self) -> bool:
-        """Return whether the client has read more of a response since the last call, and may want the rest.
-
-        Nobody waits longer than the longest deadline of all classes: then the rest is of no use.
-        """
-        before, self._unwritten_bytes = self._unwritten_bytes, self._transport.get_write_buffer_size()
-        if not 0 < self._unwritten_bytes < before:
-            return False
-        return self._loop.time() < self._written_since + self._listener.config.longest_deadline
-
-    def _poll(self, events: int) -> int:
-        """Return which of these events, or of those that are always told, have come on the socket."""
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), events)
-        return sum(found for _, found in poll.poll(0))
+        """Return whether the client has read more of a response since the last call, and may want more."""
+        return self._socket.is_read_on(self._loop.time(), self._listener.config.longest_deadline)
 
     def pause_writing(self) -> None:
         """Note that the client reads more slowly than is written."""
@@ -274,23 +255,14 @@
         if buffered and listener.buffered_bytes > listener.max_buffered_bytes:
             parser.error = HttpError(503, "too many bodies at once")
             if must_wait:
-                self._drop_waiting_requests()
+                queue.forget_requests(has_incomplete=parser.reading)
         if len(queue) > MAX_PIPELINED_REQUESTS:
             queue.clear()
             parser.error = HttpError(400, "too many requests at once")
 
-    def _drop_waiting_requests(self) -> None:
-        """Forget the requests that wait but for their number: each is owed an answer.
-
-        The error that follows is the answer to the one that is not complete, or else to the last of them.
-        """
-        self._dropped_requests += len(self._queue) - (not self._parser.reading)
-        self._queue.clear()
-
     def _held_bytes(self) -> int:
         """Return the bytes of an incomplete body and of all requests that wait."""
-        waiting = (request for request in self._queue if isinstance(request, ClientRequest))
-        return self._parser.buffered_bytes() + sum(request.buffered_bytes() for request in waiting)
+        return self._parser.buffered_bytes() + self._queue.buffered_bytes()
 
     def _account_for(self, buffered_bytes: int) -> None:
         self._listener.buffered_bytes += buffered_bytes - self._buffered_bytes
@@ -306,7 +278,7 @@
         """Take up the next request, unless an earlier one is still unanswered or its response unread."""
         if self._state is SERVING or self._state is CLOSED or self._write_paused:
             return
-        request = self._queue.popleft()
+        request = self._queue.pop()
         self._account_for(self._held_bytes())
         if isinstance(request, HttpError):
             self.reject(request)
@@ -346,10 +318,7 @@
         """
         self.on_disconnect = None
         self._input_ended = True
-        waiting = sum(isinstance(request, ClientRequest) for request in self._queue)
-        refusal = HttpError(503, "the connection ends")
-        errors = [refusal] * self._dropped_requests + [error] + [refusal] * waiting
-        self._queue.clear()
+        errors = self._queue.take_answers(error)
         self._account_for(0)
         self._record_close(CloseReason.REJECTED)
         for position, each in enumerate(errors, 1):
@@ -370,8 +339,8 @@
         self.on_disconnect = None
         keep_alive = self._keep_alive and self._may_go_on()
         self._transport.write(encode_response(status, headers, body, keep_alive))
-        now = self._written_since = self._loop.time()
-        self._unwritten_bytes = self._transport.get_write_buffer_size()
+        now = self._loop.time()
+        self._socket.note_response(now)
         if not keep_alive:
             self.close(CloseReason.LAST_RESPONSE)
             self._queue.clear()
