Spend less on checks and logs that have nothing to say

The run-time checks go straight on where a request has one attempt, and frequent events ask first whether there is a log.

--- a/balancer/send_permission.py
+++ b/balancer/send_permission.py
@@ -29,8 +29,8 @@
         return SendRefusal.ENDPOINT_RESTARTED
     if not request.pool.allows(current):
         return SendRefusal.MISPLACED
+    if len(request.attempts) == 1:
+        return None
     if request.has_other_open_attempt(number) and not request.limits.hedging:
         return SendRefusal.HEDGING_FORBIDDEN
-    if not request.allows_repeat(now, current, number):
-        return SendRefusal.REPEAT_FORBIDDEN
-    return None
+    return None if request.allows_repeat(now, current, number) else SendRefusal.REPEAT_FORBIDDEN
--- a/proxy/dispatcher.py
+++ b/proxy/dispatcher.py
@@ -117,7 +117,9 @@
         active = ActiveRequest(
             request_id, request, classified.request_class, connection, client_deadline, deadline
         )
-        self._log(Event.REQUEST_TAKEN, active, class_name=classified.request_class.name, deadline=deadline)
+        if self._event_log.enabled:
+            name = classified.request_class.name
+            self._log(Event.REQUEST_TAKEN, active, class_name=name, deadline=deadline)
         self.active_requests[request_id] = active
         connection.on_disconnect = partial(self._on_client_disconnected, active)
         active.deadline_timer = self._loop.call_at(deadline, self._on_deadline, active)
@@ -159,7 +161,8 @@
         """Answer if the end of an attempt brings the answer, and tell the decisions of it."""
         now = self._loop.time()
         active.last_outcome = outcome
-        self._log(Event.ATTEMPT_FINISHED, active, attempt=number, outcome=outcome.value)
+        if self._event_log.enabled:
+            self._log(Event.ATTEMPT_FINISHED, active, attempt=number, outcome=outcome.value)
         if response is not None and response.status in REQUEST_FAULT_STATUSES:
             # It would fail at any other backend as well: a retry would only add load.
             self._answer(active, response.status, b"", b"rejected\n")
@@ -263,15 +266,14 @@
 
     def _on_written(self, active: ActiveRequest, attempt: UpstreamAttempt, timeout: float) -> None:
         """Check and log an attempt that was just written."""
-        self._monitor.on_written(active, attempt, timeout)
+        self._monitor.on_written(self._loop.time(), active, attempt, timeout)
         if self._event_log.enabled:
             number = active.attempts.index(attempt)
             self._log(Event.ATTEMPT_WRITTEN, active, attempt=number, timeout=timeout)
 
     def _log(self, event: Event, active: ActiveRequest, **fields: object) -> None:
-        """Log an event of one request."""
-        if self._event_log.enabled:
-            self._event_log.record(event, id=active.client_request_id.decode("latin-1"), **fields)
+        """Log an event of one request; where that is frequent, ask first whether there is a log."""
+        self._event_log.record(event, id=active.client_request_id.decode("latin-1"), **fields)
 
     # ---- answers -------------------------------------------------------------------------------
 
@@ -280,7 +282,8 @@
         connection = active.connection
         if connection is not None:
             self._monitor.on_answered(active, status)
-            self._log(Event.ANSWERED, active, status=status, reason=reason)
+            if self._event_log.enabled:
+                self._log(Event.ANSWERED, active, status=status, reason=reason)
         self._settle(active)
         if connection is not None:
             connection.send_response(status, head, body)
--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -279,7 +279,8 @@
         if self._state is SERVING or self._state is CLOSED or self._write_paused:
             return
         request = self._queue.pop()
-        self._account_for(self._held_bytes())
+        if self._buffered_bytes:
+            self._account_for(self._held_bytes())
         if isinstance(request, HttpError):
             self.reject(request)
             return
--- a/proxy/invariants.py
+++ b/proxy/invariants.py
@@ -50,10 +50,11 @@
         self._event_log = event_log
         self._logged_at = float("-inf")
 
-    def on_written(self, active: ActiveRequest, attempt: UpstreamAttempt, timeout: float) -> None:
+    def on_written(self, now: float, active: ActiveRequest, attempt: UpstreamAttempt, timeout: float) -> None:
         """Check an attempt whose first byte was just written.
 
         Args:
+            now: The event loop's time.
             active: Its request.
             attempt: The attempt.
             timeout: The seconds that its backend was told it would be waited for.
@@ -62,9 +63,9 @@
             self.report(Invariant.SENT_AFTER_ANSWER, active.client_request_id)
         if not attempt.backend.in_service:
             self.report(Invariant.SENT_OUT_OF_SERVICE, active.client_request_id)
-        if timeout > active.client_deadline - asyncio.get_running_loop().time() + TIMEOUT_SLACK:
+        if timeout > active.client_deadline - now + TIMEOUT_SLACK:
             self.report(Invariant.TIMEOUT_TOO_LONG, active.client_request_id)
-        if not self._may_repeat(active, attempt):
+        if len(active.attempts) > 1 and not _may_repeat(now, active, attempt):
             self.report(Invariant.REPEATED_UNSAFELY, active.client_request_id)
 
     def on_answered(self, active: ActiveRequest, status: int) -> None:
@@ -92,15 +93,15 @@
         """Return the counts as one line of text; empty where nothing was violated."""
         return ", ".join(f"{invariant} {count}" for invariant, count in sorted(self.violations.items()))
 
-    def _may_repeat(self, active: ActiveRequest, attempt: UpstreamAttempt) -> bool:
-        """Return whether an attempt that was just written may run, by what the others may have done."""
-        request_class = active.request_class
-        others = [other for other in active.attempts if other is not attempt and _may_have_run(other)]
-        if not others or request_class.idempotency is Idempotency.IDEMPOTENT:
-            return True
-        first_written_at = min(other.written_at or 0.0 for other in others)
-        elapsed = asyncio.get_running_loop().time() - first_written_at
-        return request_class.idempotency is Idempotency.KEYED and elapsed < request_class.deduplication_window
+
+def _may_repeat(now: float, active: ActiveRequest, attempt: UpstreamAttempt) -> bool:
+    """Return whether an attempt that was just written may run, by what the others may have done."""
+    request_class = active.request_class
+    others = [other for other in active.attempts if other is not attempt and _may_have_run(other)]
+    if not others or request_class.idempotency is Idempotency.IDEMPOTENT:
+        return True
+    elapsed = now - min(other.written_at or 0.0 for other in others)
+    return request_class.idempotency is Idempotency.KEYED and elapsed < request_class.deduplication_window
 
 
 def _may_have_run(attempt: UpstreamAttempt) -> bool:
--- a/proxy/upstream/connection_pool.py
+++ b/proxy/upstream/connection_pool.py
@@ -85,25 +85,27 @@
         """Send an attempt, on an idle connection or a new one; its outcome is reported later."""
         attempt.start_timer()
         now = self._loop.time()
-        connection = self._take_idle(attempt, now)
+        rest_time = self.keepalive_policy.rest_time(now)
+        connection = self._take_idle(attempt, now, rest_time)
         if connection is None:
             self._start_dial(attempt)
-        elif now - connection.idle_since < self.keepalive_policy.rest_time(now):
-            attempt.connect_task = task = self._loop.create_task(self._reuse_after_rest(attempt, connection))
+        elif now - connection.idle_since < rest_time:
+            rested_at = connection.idle_since + rest_time
+            reuse = self._reuse_after_rest(attempt, connection, rested_at)
+            attempt.connect_task = task = self._loop.create_task(reuse)
             # The task may be cancelled before its first step: no code of its own runs then.
             task.add_done_callback(lambda ended: self.release(connection) if ended.cancelled() else None)
         else:
             connection.mark_reused(now)
             self._send(attempt, connection)
 
-    def _take_idle(self, attempt: UpstreamAttempt, now: float) -> UpstreamConnection | None:
+    def _take_idle(self, attempt: UpstreamAttempt, now: float, rest_time: float) -> UpstreamConnection | None:
         """Take the backend's most recently used connection that has rested, else the one that rested longest.
 
         Those that it meets on the way and that can not be used any more are closed.
         """
         idle = attempt.backend.idle_connections
         oldest = now - self.keepalive_policy.max_idle_time(now, attempt.retryable)
-        rest_time = self.keepalive_policy.rest_time(now)
         resting: UpstreamConnection | None = None
         for connection in reversed(idle.copy()):
             recent = connection.idle_since >= oldest
@@ -120,14 +122,15 @@
             self._remove_idle(resting)
         return resting
 
-    async def _reuse_after_rest(self, attempt: UpstreamAttempt, connection: UpstreamConnection) -> None:
+    async def _reuse_after_rest(
+        self, attempt: UpstreamAttempt, connection: UpstreamConnection, rested_at: float
+    ) -> None:
         """Let a connection that has just answered rest, then send on it, or on a new one.
 
         A second response that comes late would be taken for the next request's own. The rest is shorter than
         a handshake.
         """
-        now = self._loop.time()
-        await asyncio.sleep(connection.idle_since + self.keepalive_policy.rest_time(now) - now)
+        await asyncio.sleep(rested_at - self._loop.time())
         attempt.connect_task = None
         if connection.is_usable():
             connection.mark_reused(self._loop.time())
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -90,7 +90,7 @@
         await clock.wait_until(lambda: gate.held == 1)
         [active] = proxy.dispatcher.active_requests.values()
         proxy.notify([endpoint_entry("a", backend.address, "terminating")])
-        proxy.proxy.monitor.on_written(active, active.attempts[0], 0.0)
+        proxy.proxy.monitor.on_written(clock.now, active, active.attempts[0], 0.0)
         assert proxy.proxy.monitor.violations == {Invariant.SENT_OUT_OF_SERVICE: 1}
         gate.release()
         await clock.wait_for(client.response())
