Tests that fail: what comes behind an accept that fails for a moment

The event loop's server takes nothing for a second after ENFILE, EMFILE, ENOBUFS or ENOMEM, and a shutdown takes any error for the end of the queue, so that closing the socket resets what is still in it.

--- /dev/null
+++ b/tests/test_accept_failures.py
@@ -0,0 +1,114 @@
+"""Accepting that fails for a moment, with each error that Linux documents: what comes behind it."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import socket
+from typing import Any
+
+import pytest
+from client_scenarios import RawClient
+from loopback import (
+    ManualClock,
+    RunningProxy,
+    in_event_loop,
+    proxy_with_backends,
+    respond_ok,
+    stub_backend,
+)
+from proxy_inputs import endpoint_entry, post_request, proxy_config
+
+from proxy.proxy import Proxy
+
+RESOURCE_ERRORS = [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM]  # of the system or the process
+ACCEPT_ERRORS = [errno.ECONNABORTED, errno.EPROTO, *RESOURCE_ERRORS]  # and of one connection
+MAX_DELAY = 0.02  # seconds by which such failures may hold up a connection
+FAILURES = 3  # in a row
+
+
+class FailingAccept:
+    """Lets accepting on one proxy's socket fail.
+
+    Attributes:
+        failures: How many of the next calls fail.
+        calls: How many calls there were.
+    """
+
+    def __init__(self, proxy: RunningProxy, error: int, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.failures = FAILURES
+        self.calls = 0
+        accept = socket.socket.accept
+
+        def fail_at_first(sock: socket.socket) -> Any:
+            if sock.getsockname()[1] != proxy.port:
+                return accept(sock)
+            self.calls += 1
+            if self.failures:
+                self.failures -= 1
+                raise OSError(error, os.strerror(error))
+            return accept(sock)
+
+        monkeypatch.setattr(socket.socket, "accept", fail_at_first)
+
+
+@pytest.mark.parametrize("error", RESOURCE_ERRORS)
+@in_event_loop
+async def test_connections_after_a_failed_accept_are_taken_within_milliseconds(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = ManualClock()
+    async with proxy_with_backends(respond_ok) as (proxy, [backend]):
+        FailingAccept(proxy, error, monkeypatch)
+        clients = []
+        for number in range(3):
+            clients.append(RawClient(proxy))
+            clients[-1].sock.sendall(post_request(number))
+            began_at = clock.now
+            while backend.received.qsize() <= number:
+                assert clock.now < began_at + MAX_DELAY, "it is not accepted"
+                await clock.settle()
+                await clock.advance(0.002)
+        for client in clients:
+            client.disconnect("close")
+
+
+@in_event_loop
+async def test_accepting_that_fails_on_and_on_is_tried_at_a_bounded_rate(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock = ManualClock()
+    async with proxy_with_backends(respond_ok) as (proxy, _):
+        accepting = FailingAccept(proxy, errno.EMFILE, monkeypatch)
+        accepting.failures = 1 << 30
+        client = RawClient(proxy)
+        for _ in range(100):
+            await clock.advance(0.01)
+        assert accepting.calls <= 100
+        accepting.failures = 0
+        client.disconnect("close")
+
+
+@pytest.mark.parametrize("error", ACCEPT_ERRORS)
+@in_event_loop
+async def test_shutdown_takes_the_queued_connections_behind_a_failed_accept(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with stub_backend(respond_ok) as backend:
+        clock = ManualClock()
+        proxy = Proxy(proxy_config([endpoint_entry("a", backend.address)]))
+        sock = await proxy.listener.listen()
+        asyncio.get_running_loop().remove_reader(sock.fileno())  # what comes now is queued
+        running = RunningProxy(proxy, sock.getsockname()[1])
+        clients = [RawClient(running) for _ in range(3)]
+        for number, client in enumerate(clients):
+            client.sock.sendall(post_request(number))
+        FailingAccept(running, error, monkeypatch)
+        await proxy.listener.stop_listening(sock)
+        await clock.settle()
+        assert len(proxy.listener.connections.open) == 3
+        for client in clients:
+            client.disconnect("close")
+        await clock.settle()
+        proxy.listener.stop_keepalive()
