Accept by a loop of our own, which an error holds up for milliseconds

Cause: the standard event loop's server removes its reader for a second after ENFILE, EMFILE, ENOBUFS or ENOMEM, and lets all other errors but ECONNABORTED out as exceptions; `Listener.stop_listening` ended its loop at any error, and closing the socket then resets what is queued.

Change: `proxy/downstream/acceptor.py`. An error of one connection is followed by the next accept at once, eight in a turn; one of the system or the process by another try after 2 ms, twice as long each further time, 50 ms at most. A shutdown ends at "would block" alone, after up to 70 failures in a row.

--- a/proxy/downstream/listener.py
+++ b/proxy/downstream/listener.py
@@ -13,6 +13,7 @@
 from math import inf
 
 from proxy.config import Config
+from proxy.downstream.acceptor import Acceptor
 from proxy.downstream.classification import ClassifiedRequest
 from proxy.downstream.connection import DownstreamConnection
 from proxy.downstream.connection_state import CloseReason
@@ -24,7 +25,6 @@
 
 BUFFERED_MEMORY_SHARE = 0.25  # of the memory limit, for incomplete bodies and requests that wait
 LISTEN_BACKLOG = 1024  # connections that may wait to be accepted
-MAX_ACCEPTS_PER_TURN = 8  # with no descriptor left the loop logs one error for each of them, every second
 
 
 class Listener:
@@ -100,24 +100,15 @@
     async def listen(self) -> socket.socket:
         """Accept connections, and return the listening socket."""
         sock = self._socket or self.bind()
-        self._server = await self._loop.create_server(
-            lambda: DownstreamConnection(self), sock=sock, backlog=MAX_ACCEPTS_PER_TURN
-        )
-        sock.listen(LISTEN_BACKLOG)  # the server has set its own backlog, which counts accepts in one turn
+        self._acceptor = Acceptor(sock, lambda: DownstreamConnection(self))
+        self._acceptor.start()
         self.serving = True
         return sock
 
     async def stop_listening(self, sock: socket.socket) -> None:
         """Accept what is queued, then close the listening socket: closing it resets what is still queued."""
-        self._loop.remove_reader(sock.fileno())
-        while True:
-            try:
-                accepted, _ = sock.accept()
-            except OSError:
-                break
-            accepted.setblocking(False)
-            await self._loop.connect_accepted_socket(lambda: DownstreamConnection(self), accepted)
-        self._server.close()
+        await self._acceptor.accept_queued()
+        sock.close()
 
     def stop_keepalive(self) -> None:
         """Let each response close its connection from now on, and close those that wait for none.
--- a/tests/test_accept_failures.py
+++ b/tests/test_accept_failures.py
@@ -6,6 +6,7 @@
 import errno
 import os
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -112,3 +113,21 @@
             client.disconnect("close")
         await clock.settle()
         proxy.listener.stop_keepalive()
+
+
+@pytest.mark.parametrize("error", ACCEPT_ERRORS)
+@in_event_loop
+async def test_accept_that_fails_is_one_line_in_the_log(
+    error: int, monkeypatch: pytest.MonkeyPatch, log_lines: Callable[[], list[str]]
+) -> None:
+    clock = ManualClock()
+    async with proxy_with_backends(respond_ok) as (proxy, [backend]):
+        FailingAccept(proxy, error, monkeypatch)
+        client = RawClient(proxy)
+        client.sock.sendall(post_request())
+        while backend.received.empty():
+            await clock.settle()
+            await clock.advance(0.002)
+        [line] = log_lines()
+        assert line.startswith(f"proxy: accept: {os.strerror(error)}")
+        client.disconnect("close")
