--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -44,6 +44,19 @@
     return str(RUN.replace(DEPLOYED_PROGRAM, f"{shlex.quote(sys.executable)} -m soak.shim"))
 
 
+def survives_hangup(pid: int) -> bool:
+    """Return whether a process ignores or handles SIGHUP now; False where there is none.
+
+    The shell that runs the command does neither in its first moments, which the program can't help.
+    """
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return False
+    masks = dict(line.split(":", 1) for line in status.splitlines())
+    return bool((int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)) & HANGUP_BIT)
+
+
 @dataclass(slots=True)
 class _Slot:
     """One proxy's place: its configuration and its present process."""
@@ -141,17 +154,9 @@
             process.send_signal(number)
 
     def survives_hangup(self, proxy: int) -> bool:
-        """Return whether a proxy's process ignores or handles SIGHUP.
-
-        In its first moments the shell that runs the command does neither yet, which the program can't help.
-        """
+        """Return whether a proxy's process ignores or handles SIGHUP; in its first moments it may not yet."""
         process = self._slots[proxy].process
-        try:
-            status = Path(f"/proc/{process.pid}/status").read_text() if process is not None else ""
-        except OSError:
-            return False
-        masks = dict(line.split(":", 1) for line in status.splitlines())
-        return bool((int(masks.get("SigIgn", "0"), 16) | int(masks.get("SigCgt", "0"), 16)) & HANGUP_BIT)
+        return process is not None and survives_hangup(process.pid)
 
     async def hold_up(self, proxy: int, seconds: float) -> None:
         """Stop a proxy's process for a moment."""
--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -25,10 +25,10 @@
 from proxy_process import PROJECT_ROOT, environment_without_proxy, wait_until_ready
 
 from proxy.process import TERMINATION_SIGNALS, ignore_signals
+from soak.proxies import survives_hangup
 
 RUN_COMMAND = tomllib.loads((PROJECT_ROOT / "deploy" / "balancer.toml").read_text())["run"]
 DEPLOYED_INTERPRETER = ".venv/bin/python"
-HANGUP_BIT = 1 << (signal.SIGHUP - 1)  # in the signal masks of /proc
 
 
 def config_text(port: int, version: str) -> bytes:
@@ -83,13 +83,6 @@
         await process.wait()
 
 
-def survives_hangup(process: Process) -> bool:
-    """Return whether a process ignores or handles SIGHUP now."""
-    status = Path(f"/proc/{process.pid}/status").read_text()
-    masks = dict(line.split(":", 1) for line in status.splitlines())
-    return bool((int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)) & HANGUP_BIT)
-
-
 async def version_of(port: int) -> bytes:
     """Return the line of a proxy's health check that names the version in force."""
     client: Client = await connect(port)
@@ -111,7 +104,7 @@
 
         if moment == "before the program runs":
             async with asyncio.timeout(MAX_WAIT):
-                while not survives_hangup(process):
+                while not survives_hangup(process.pid):
                     await asyncio.sleep(0)
             send_hangup()
             # The file is read after the signal, and what it says then is in force: no second look is needed.
