--- a/soak/cli.py
+++ b/soak/cli.py
@@ -17,7 +17,10 @@
 MAX_SHOWN = 20  # violations of a run that are printed in full
 
 
-@click.command(context_settings={"help_option_names": ["-h", "--help"]})
+SCENARIO_HELP = "\b\n" + "\n".join(f"{name}: {SCENARIOS[name].help}" for name in sorted(SCENARIOS))
+
+
+@click.command(context_settings={"help_option_names": ["-h", "--help"]}, epilog=SCENARIO_HELP)
 @click.argument("names", nargs=-1, type=click.Choice(sorted(SCENARIOS)), metavar="[SCENARIO]...")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="The first seed.")
 @click.option("--seeds", type=click.IntRange(1, 1000), default=1, show_default=True, help="How many.")
--- a/soak/run.py
+++ b/soak/run.py
@@ -111,9 +111,7 @@
         fleet.add(ProxyConfig(f"p{number}", port, discovery[number][0], seed_text, known, config, "0"))
     lag_meter = LagMeter()
     clients = Clients(fleet, recording, scenario.mix, seed + 1)
-    troubles = Troubles(
-        World(fleet, backends, endpoints, clients, discovery, folder), seed + 2, scenario.troubles
-    )
+    troubles = Troubles(World(fleet, backends, endpoints, clients, discovery), seed + 2, scenario.troubles)
     try:
         await fleet.start_all()
         until = time.monotonic() + seconds
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -11,7 +11,6 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from pathlib import Path
 
 from emulator.child import ChildProcess
 from soak.clients import Clients
@@ -36,7 +35,6 @@
     endpoints: EndpointList
     clients: Clients
     discovery_ports: list[tuple[int, int]]
-    folder: Path
 
 
 class Troubles:
--- a/tests/proxy_process.py
+++ b/tests/proxy_process.py
@@ -46,6 +46,17 @@
     }
 
 
+@asynccontextmanager
+async def killed_at_the_end(process: Process) -> AsyncIterator[None]:
+    """Kill a process that has not ended by the end of the context, and wait until it is gone."""
+    try:
+        yield
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
 @asynccontextmanager
 async def proxy_process(config_path: Path) -> AsyncIterator[Process]:
     """Run a proxy that has its configuration from a file alone, and whose log can be read from a pipe.
@@ -60,12 +71,8 @@
         stderr=asyncio.subprocess.PIPE,
         env=environment_without_proxy() | {"RELAY_CONFIG": str(config_path)},
     )
-    try:
+    async with killed_at_the_end(process):
         yield process
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
 
 
 async def wait_until_ready(port: int) -> None:
--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -22,7 +22,7 @@
 from config_files import raw_config
 from loopback import Client, connect, free_port, in_event_loop, with_timeout
 from proxy_inputs import HEALTH_REQUEST, HOST, MAX_WAIT, endpoint_entry
-from proxy_process import PROJECT_ROOT, environment_without_proxy, wait_until_ready
+from proxy_process import PROJECT_ROOT, environment_without_proxy, killed_at_the_end, wait_until_ready
 
 from proxy.process import TERMINATION_SIGNALS, ignore_signals
 from soak.proxies import survives_hangup
@@ -75,12 +75,8 @@
     process = await asyncio.create_subprocess_shell(
         command, cwd=PROJECT_ROOT, env=environment_without_proxy() | {"RELAY_CONFIG": str(config_path)}
     )
-    try:
+    async with killed_at_the_end(process):
         yield process
-    finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
 
 
 async def version_of(port: int) -> bytes:
