--- a/review/standin.py
+++ b/review/standin.py
@@ -126,7 +126,7 @@
 
     async def start(self, stack: AsyncExitStack) -> None:
         """Listen on a free port until the stack ends."""
-        server = await asyncio.start_server(_quietly(self._serve), HOST, 0)
+        server = await asyncio.start_server(quietly(self._serve), HOST, 0)
         stack.callback(server.close)
         self.port = server.sockets[0].getsockname()[1]
 
@@ -202,7 +202,7 @@
 
     async def start(self, stack: AsyncExitStack) -> None:
         """Listen on a free port until the stack ends."""
-        server = await asyncio.start_server(_quietly(self._serve), HOST, 0)
+        server = await asyncio.start_server(quietly(self._serve), HOST, 0)
         stack.callback(server.close)
         self.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
 
@@ -364,7 +364,7 @@
 # ---- connections -----------------------------------------------------------------------------------
 
 
-def _quietly(
+def quietly(
     serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
 ) -> Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]:
     """Return a handler of connections that ends without an error when its peer or the case ends."""
