--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,9 +1,8 @@
-"""Case 6: a backend's second answer comes 12 ms late, and another client gets it as its own."""
+"""Case 6: discovery is slow, the proxy never waits for its answer, and never learns of a drain."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 import sys
 import time
 from pathlib import Path
@@ -12,84 +11,69 @@
 
 import lab
 
+LINE_DELAY = 3.0  # seconds that each line of a slow discovery takes, the first one of an answer included
+SLOW_AFTER = 2.0  # seconds of traffic after which discovery becomes slow
+DRAIN_AFTER = 4.0  # seconds of traffic after which a backend begins to drain
 SECONDS = 20.0  # of traffic
-PROXIES = 2
-CLIENTS = 8  # of each proxy; each sends one request after the other
-BACKENDS = 3
-WORK = (0.04, 0.08)  # seconds that a backend takes for a request
-SPOILT_SHARE = 0.1  # of the answers come twice
-SECOND_ANSWER_DELAY = 0.012  # seconds from the first answer to the second
+TOLD_AFTER = 6.0  # seconds after which a change counts as told at the latest
+GRACE = 0.25 + 0.05  # `DrainGrace`, and the 50 ms of the rules on sockets
+WORK = 0.03  # seconds that a backend takes for a request
+CLIENTS = 4
+PAUSE = 0.05  # seconds between a client's requests
 TIMEOUT = 3.0  # seconds that a client waits for each answer
 
 
-class _Responder:
-    """Answers with the request's id, and sends some of the answers a second time."""
+async def _respond(request: lab.Message, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(WORK)
+    writer.write(lab.answer(f"served {request.request_id}".encode()))
 
-    def __init__(self, record: lab.Record) -> None:
-        self._record = record
-        self._rng = random.Random()
-        self._later: set[asyncio.Task[None]] = set()
 
-    async def respond(self, request: lab.Message, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(self._rng.uniform(*WORK))
-        response = lab.answer(f"served {request.request_id}".encode())
-        writer.write(response)
-        if lab.TROUBLE and self._rng.random() < SPOILT_SHARE:
-            task = asyncio.create_task(self._repeat(request.request_id, response, writer))
-            self._later.add(task)
-            task.add_done_callback(self._later.discard)
-
-    async def _repeat(self, request_id: str, response: bytes, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(SECOND_ANSWER_DELAY)
-        if not writer.is_closing():
-            self._record(f"run    {request_id}: second answer")
-            writer.write(response)
-
-
-async def _send_requests(record: lab.Record, port: int, name: str, until: float) -> list[str]:
-    """Send one request after the other; return the ids of those that got the answer to another one."""
+async def _send_requests(record: lab.Record, port: int, name: str, until: float) -> None:
     client = await lab.Client.connect(port)
-    wrong: list[str] = []
     number = 0
     while time.monotonic() < until:
         number += 1
         request_id = f"{name}r{number}"
-        class_name = "book" if number % 2 else "view"
-        record(f"sent   {request_id} ({class_name})")
-        response = await lab.exchange(client, lab.request_bytes(request_id, class_name, TIMEOUT), TIMEOUT + 1)
+        record(f"sent   {request_id}")
+        response = await lab.exchange(client, lab.request_bytes(request_id, "view", TIMEOUT), TIMEOUT + 1)
+        record(f"answer {request_id}: {response.status if response else 'none'}")
         if response is None:
-            record(f"answer {request_id}: none")
             client.close()
             client = await lab.Client.connect(port)
-            continue
-        record(f"answer {request_id}: {response.status} {response.body!r}")
-        if response.status == lab.OK and response.body != f"served {request_id}".encode():
-            wrong.append(request_id)
-            record(f"WRONG  {request_id} got {response.body!r}")
+        await asyncio.sleep(PAUSE)
     client.close()
-    return wrong
 
 
 async def _play(record: lab.Record, folder: Path, proxies: list[lab.Proxy]) -> bool:
-    responder = _Responder(record)
-    backends = [lab.Backend(f"s-{number}", responder.respond, record) for number in range(BACKENDS)]
+    backends = [lab.Backend(f"s-{number}", _respond, record) for number in range(3)]
     await asyncio.gather(*(backend.start() for backend in backends))
     discovery = lab.Discovery(record, [backend.entry() for backend in backends])
     await discovery.start()
-    proxies += [lab.Proxy(f"n{number}", folder, record) for number in range(PROXIES)]
-    for number, proxy in enumerate(proxies):
-        await proxy.start(discovery.port, discovery.known(), lab.SETTINGS | {"Ordinal": number})
+    proxies.append(lab.Proxy("n0", folder, record))
+    await proxies[0].start(discovery.port, discovery.known(), lab.SETTINGS)
     until = time.monotonic() + SECONDS
+    port = proxies[0].port
     clients = [
-        _send_requests(record, proxy.port, f"{proxy.name}c{number}", until)
-        for proxy in proxies
-        for number in range(CLIENTS)
+        asyncio.create_task(_send_requests(record, port, f"c{each}", until)) for each in range(CLIENTS)
     ]
-    results = await asyncio.gather(*clients)
-    wrong = sum(len(each) for each in results)
-    run = sum(len(backend.requests) for backend in backends)
-    record.verdict(f"{run} requests run, {wrong} clients got the answer to another request")
-    return wrong == 0
+    await asyncio.sleep(SLOW_AFTER)
+    if lab.TROUBLE:
+        record(f"list   discovery is slow from now on: each line takes {LINE_DELAY:.1f} s")
+        discovery.delay = LINE_DELAY
+    await asyncio.sleep(DRAIN_AFTER - SLOW_AFTER)
+    draining = backends[1]
+    drained_at = time.monotonic()
+    await discovery.change(draining.entry("terminating"))
+    await asyncio.gather(*clients)
+    last = max((each.began_at for each in draining.requests), default=drained_at) - drained_at
+    late = [each for each in draining.requests if each.began_at > drained_at + TOLD_AFTER + GRACE]
+    for request in late:
+        record(f"LATE   {request.request_id} began {request.began_at - drained_at:.3f} s after the drain")
+    record.verdict(
+        f"last request to the draining backend {last:.2f} s after the drain, "
+        f"{len(late)} of {len(draining.requests)} after {TOLD_AFTER + GRACE:.2f} s"
+    )
+    return not late
 
 
 if __name__ == "__main__":
--- a/review/lab.py
+++ b/review/lab.py
@@ -374,10 +374,23 @@
         self._folder, self._record = folder, record
 
     async def start(
-        self, discovery_port: int, known: dict[str, Any], settings: dict[str, Any], sockets: int = 1024
+        self,
+        discovery_port: int,
+        known: dict[str, Any],
+        settings: dict[str, Any],
+        *,
+        sockets: int = 384,
+        memory_mb: int = 80,
     ) -> None:
         """Start the process, and wait until `/healthz` answers 200.
 
+        Args:
+            discovery_port: The port of discovery.
+            known: The list in the configuration.
+            settings: The settings in the configuration.
+            sockets: The limit on descriptors; the default is that of the reports of lisboa-central.
+            memory_mb: The limit on memory in MB; the default is that of the same reports.
+
         Raises:
             CaseError: The proxy does not become ready.
         """
@@ -386,7 +399,7 @@
             "listen": f"{HOST}:{self.port}",
             "discovery": f"{HOST}:{discovery_port}",
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": known,
             "settings": settings,
         }
