--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Case 6: discovery is slow, the proxy never waits for its answer, and never learns of a drain."""
+"""Case 6: discovery is crowded, the proxy gives up each call too early, and never learns of a drain."""
 
 from __future__ import annotations
 
@@ -11,10 +11,9 @@
 
 import lab
 
-LINE_DELAY = 3.0  # seconds that each line of a slow discovery takes, the first one of an answer included
-SLOW_AFTER = 2.0  # seconds of traffic after which discovery becomes slow
-DRAIN_AFTER = 4.0  # seconds of traffic after which a backend begins to drain
-SECONDS = 20.0  # of traffic
+CALL_DELAY = 3.0  # seconds that a call waits for its turn at a crowded discovery
+DRAIN_AFTER = 5.0  # seconds of traffic after which a backend begins to drain
+SECONDS = 25.0  # of traffic
 TOLD_AFTER = 6.0  # seconds after which a change counts as told at the latest
 GRACE = 0.25 + 0.05  # `DrainGrace`, and the 50 ms of the rules on sockets
 WORK = 0.03  # seconds that a backend takes for a request
@@ -49,18 +48,17 @@
     await asyncio.gather(*(backend.start() for backend in backends))
     discovery = lab.Discovery(record, [backend.entry() for backend in backends])
     await discovery.start()
+    if lab.TROUBLE:
+        record(f"list   discovery is crowded: each call waits for {CALL_DELAY:.1f} s")
+        discovery.call_delay = CALL_DELAY
     proxies.append(lab.Proxy("n0", folder, record))
-    await proxies[0].start(discovery.port, discovery.known(), lab.SETTINGS)
+    await proxies[0].start(discovery.port, discovery.known(), lab.SETTINGS | {"RegistryMode": "on_request"})
     until = time.monotonic() + SECONDS
     port = proxies[0].port
     clients = [
         asyncio.create_task(_send_requests(record, port, f"c{each}", until)) for each in range(CLIENTS)
     ]
-    await asyncio.sleep(SLOW_AFTER)
-    if lab.TROUBLE:
-        record(f"list   discovery is slow from now on: each line takes {LINE_DELAY:.1f} s")
-        discovery.delay = LINE_DELAY
-    await asyncio.sleep(DRAIN_AFTER - SLOW_AFTER)
+    await asyncio.sleep(DRAIN_AFTER)
     draining = backends[1]
     drained_at = time.monotonic()
     await discovery.change(draining.entry("terminating"))
--- a/review/lab.py
+++ b/review/lab.py
@@ -255,13 +255,13 @@
 
     Attributes:
         port: The port on which it listens.
-        delay: Seconds that each line takes; 0 unless the case makes discovery slow.
+        call_delay: Seconds that a call waits for its turn; 0 unless the case makes discovery crowded.
         index: The version of the list.
     """
 
     def __init__(self, record: Record, entries: list[dict[str, Any]]) -> None:
         self.port = 0
-        self.delay = 0.0
+        self.call_delay = 0.0
         self.index = 1
         self._record = record
         self._entries = {entry["name"]: (1, entry) for entry in entries}
@@ -303,7 +303,8 @@
 
     async def _answer(self, target: str, writer: asyncio.StreamWriter, ended: asyncio.Future[bytes]) -> None:
         """Answer a watch until its connection ends."""
-        await self._wait_while_slow(ended)
+        if self.call_delay:
+            await asyncio.wait([ended], timeout=self.call_delay)
         if ended.done():
             return
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -321,12 +322,6 @@
             writer.write(b"%x\r\n%b\r\n" % (len(line), line))
             await writer.drain()
             await self._wait_for_change(since, ended)
-            await self._wait_while_slow(ended)
-
-    async def _wait_while_slow(self, ended: asyncio.Future[bytes]) -> None:
-        """Wait as long as a line takes now, or until the connection ends."""
-        if self.delay:
-            await asyncio.wait([ended], timeout=self.delay)
 
     async def _wait_for_change(self, since: int, ended: asyncio.Future[bytes]) -> None:
         """Wait for a change, the time of the next empty line, or the end of the connection."""
