Event log: requests that a connection rejects by itself, with id, status and reason

The logs of the killed processes could not say which requests were rejected, or why: a connection that rejects a request without the balancer recorded only that it closed. The event request_rejected has the id as far as it was received (64 bytes at most), the status and the reason. One test for a request too large, one of an unknown class and one malformed.

--- a/proxy/downstream/closing.py
+++ b/proxy/downstream/closing.py
@@ -10,16 +10,19 @@
 
 from proxy.downstream.connection_state import CloseReason, ConnectionState
 from proxy.invariants import Invariant
-from proxy.logged_events import ConnectionClosed
+from proxy.logged_events import ConnectionClosed, RequestRejected
 
 if TYPE_CHECKING:
     import asyncio
 
     from proxy.downstream.client_socket import ClientSocket
+    from proxy.downstream.errors import HttpError
     from proxy.downstream.request_queue import RequestQueue
     from proxy.event_log import EventLog
     from proxy.invariants import InvariantMonitor
 
+MAX_LOGGED_ID_LENGTH = 64  # bytes; a longer id is malformed
+
 
 class ClosingContext(Protocol):
     """The receivers of reports on closed connections; the listener has them.
@@ -75,6 +78,18 @@
         with suppress(OSError):  # the client has just reset the connection; the loop reports that
             self._transport.write_eof()
 
+    def record_rejection(self, request_id: bytes, error: HttpError) -> None:
+        """Log a request that the connection rejects by itself.
+
+        Args:
+            request_id: The client's id of the request; empty if it was not received.
+            error: The response.
+        """
+        event_log = self._context.event_log
+        if event_log.enabled:
+            logged_id = request_id[:MAX_LOGGED_ID_LENGTH].decode("latin-1")
+            event_log.record(RequestRejected(id=logged_id, status=error.status, reason=error.reason))
+
     def record(self, reason: CloseReason, state: ConnectionState, queue: RequestQueue) -> None:
         """Log why the proxy closes the connection, and report received requests that get no response."""
         event_log = self._context.event_log
@@ -91,5 +106,4 @@
         if reason is CloseReason.CLIENT_DISCONNECTED:
             return
         for request in queue.requests():
-            request_id = request.headers.get(b"x-request-id", b"")
-            self._context.monitor.report(Invariant.DROPPED_UNANSWERED, request_id)
+            self._context.monitor.report(Invariant.DROPPED_UNANSWERED, request.request_id)
--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -186,7 +186,7 @@
         try:
             serve_request(request, self, self._owner)
         except HttpError as error:
-            self.reject(error)
+            self.reject(error, request.request_id)
 
     def send_response(self, status: int, headers: bytes, body: bytes) -> None:
         """Write the one final response to the request that is being served.
@@ -215,15 +215,21 @@
         else:
             self._enter(IDLE, now + self.idle_timeout)
 
-    def reject(self, error: HttpError) -> None:
+    def reject(self, error: HttpError, request_id: bytes | None = None) -> None:
         """Reject the current request and all that wait behind it, and close the connection.
 
         The waiting requests get status 503, which means that they did not run. If the connection stayed open,
         a rejected client could repeat its request without any delay. Only the sending side is closed, and the
         proxy reads until the client closes: unread input would reset the connection, and the client would
         lose the response.
+
+        Args:
+            error: The response.
+            request_id: The client's id of the request; by default that of the one which is being read.
         """
         self.on_disconnect = None
+        received_id = self._input.parser.request_id() if request_id is None else request_id
+        self._closer.record_rejection(received_id, error)
         rejections = self._input.end(error)
         self._closer.record(CloseReason.REJECTED, self._state, self._input.queue)
         self._writer.write_rejections(rejections)
--- a/proxy/downstream/request_parser.py
+++ b/proxy/downstream/request_parser.py
@@ -66,6 +66,11 @@
     received_at: float
     keep_alive: bool
 
+    @property
+    def request_id(self) -> bytes:
+        """The client's id of the request; empty if it has none."""
+        return self.headers.get(b"x-request-id", b"")
+
     def buffered_bytes(self) -> int:
         """Return the bytes of memory that the request uses while it waits."""
         return len(self.target) + len(self.forwarded_headers) + len(self.body)
@@ -110,6 +115,10 @@
             elif self._wire_bytes > MAX_WIRE_BYTES:
                 self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the request is too large")
 
+    def request_id(self) -> bytes:
+        """Return the client's id of the latest request; empty if it was not received."""
+        return self._headers.get(b"x-request-id", b"")
+
     def buffered_bytes(self) -> int:
         """Return the bytes of the body of an incomplete request."""
         return min(self._body_bytes, MAX_BODY_BYTES) if self.reading else 0
--- a/proxy/logged_events.py
+++ b/proxy/logged_events.py
@@ -21,6 +21,7 @@
     ATTEMPT_WRITTEN = "attempt_written"
     ATTEMPT_FINISHED = "attempt_finished"
     RESPONSE_SENT = "response_sent"
+    REQUEST_REJECTED = "request_rejected"
     CLIENT_DISCONNECTED = "client_disconnected"
     CONNECTION_CLOSED = "connection_closed"
     ENDPOINTS_UPDATED = "endpoints_updated"
@@ -139,6 +140,22 @@
     id: str
 
 
+@dataclass(slots=True, kw_only=True)
+class RequestRejected:
+    """A connection rejected a request by itself; the balancer was not asked.
+
+    Attributes:
+        id: The client's request id; empty if it was not received.
+        status: The status code of the response.
+        reason: The reason, which is also the body of the response.
+    """
+
+    event: ClassVar = Event.REQUEST_REJECTED
+    id: str
+    status: int
+    reason: str
+
+
 @dataclass(slots=True, kw_only=True)
 class ConnectionClosed:
     """The proxy closed a client's connection.
@@ -247,6 +264,7 @@
     | AttemptWritten
     | AttemptFinished
     | ResponseSent
+    | RequestRejected
     | ClientDisconnected
     | ConnectionClosed
     | EndpointsUpdated
--- a/tests/proxy/test_event_log.py
+++ b/tests/proxy/test_event_log.py
@@ -8,12 +8,13 @@
 from typing import TYPE_CHECKING, get_args
 
 import orjson
+import pytest
 
 from proxy.event_log import PATH_VARIABLE, EventLog
 from proxy.logged_events import EndpointsUpdated, Event, LinesDropped, LoggedEvent, ShutdownStarted
 from proxy.proxy import Proxy
 from tests.support.loopback import RunningProxy, in_event_loop, respond_ok, stub_backend
-from tests.support.proxy_inputs import endpoint_entry, get_request, proxy_config, status_of
+from tests.support.proxy_inputs import endpoint_entry, get_request, post_request, proxy_config, status_of
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -48,6 +49,37 @@
         proxy.listener.stop_keepalive()
 
 
+@pytest.mark.parametrize(
+    ("request_bytes", "event"),
+    [
+        (
+            post_request(7, Content_Length=str(1 << 20))[:-4],
+            {"id": "id7", "status": 413, "reason": "the body is too large"},
+        ),
+        (
+            get_request(8, X_Priority_Class="other"),
+            {"id": "id8", "status": 400, "reason": "unknown class"},
+        ),
+        (b"nonsense\r\n\r\n", {"id": "", "status": 400, "reason": "the request is malformed"}),
+    ],
+)
+@in_event_loop
+async def test_log_shows_a_request_that_its_connection_rejects(
+    request_bytes: bytes, event: dict[str, object], tmp_path: Path
+) -> None:
+    path = tmp_path / "events"
+    log = EventLog.from_environment({PATH_VARIABLE: str(path)})
+    proxy = Proxy(proxy_config([]), log)
+    sock = await proxy.listener.listen()
+    client = await RunningProxy(proxy, sock.getsockname()[1]).connect()
+    assert status_of(await client.request(request_bytes)) == event["status"]
+    log.flush()
+    [logged] = [each for each in read_events(path) if each["event"] == Event.REQUEST_REJECTED]
+    assert {name: logged[name] for name in event} == event
+    await proxy.listener.stop_listening(sock)
+    proxy.listener.stop_keepalive()
+
+
 def test_each_event_has_one_type_that_documents_its_fields() -> None:
     types = [*get_args(LoggedEvent), LinesDropped]
     assert sorted(each.event for each in types) == sorted(Event)
