--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -14,7 +14,7 @@
 from proxy.downstream import timeouts
 from proxy.downstream.client_socket import ClientSocket
 from proxy.downstream.closing import ClosingContext, ConnectionCloser
-from proxy.downstream.connection_input import ConnectionInput, SharedMemory
+from proxy.downstream.connection_input import ConnectionInput
 from proxy.downstream.connection_state import (
     CLOSED,
     CLOSING,
@@ -33,16 +33,20 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from proxy.downstream.client_memory import ClientMemory
 
-class ConnectionOwner(SharedMemory, ClosingContext, RequestHandler["DownstreamConnection"], Protocol):
+
+class ConnectionOwner(ClosingContext, RequestHandler["DownstreamConnection"], Protocol):
     """The fields and methods of the listener that its connections use.
 
     Attributes:
+        memory: The memory that all connections share.
         closing_since: The event loop's time from which responses close their connection; infinite until the
             listener's `stop_keepalive` is called.
         last_accepted_at: The event loop's time at which the latest connection was accepted.
     """
 
+    memory: ClientMemory[DownstreamConnection]
     closing_since: float
     last_accepted_at: float
 
@@ -57,6 +61,8 @@
             it; sending the response clears it.
         idle_timeout: Seconds without a request after which the connection is closed; longer once a request
             has been forwarded.
+        writer: Writes the responses.
+        closer: Ends the connection.
     """
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -66,7 +72,8 @@
         self._registry = owner.connections
         self._loop = asyncio.get_running_loop()
         self._state: ConnectionState = NEW
-        self._input = ConnectionInput(owner)
+        self._memory = owner.memory
+        self._input = ConnectionInput(owner.memory)
         self._keep_alive = False  # whether the connection stays open after the request that is being served
 
     # ---- callbacks of the transport ------------------------------------------------------
@@ -76,8 +83,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._socket = ClientSocket(transport)
-        self._writer = ResponseWriter(transport)
-        self._closer = ConnectionCloser(transport, self._socket, self._owner)
+        self.writer = ResponseWriter(transport, self._memory.budget)
+        self.closer = ConnectionCloser(transport, self._socket, self._owner)
         now = self._owner.last_accepted_at = self._loop.time()
         self._registry.open.add(self)
         self._enter(NEW, now + timeouts.FIRST_REQUEST_TIMEOUT)
@@ -90,27 +97,29 @@
         Waiting requests are dropped, as no client waits for their responses. Otherwise, if an earlier
         response is still unread, the connection would stay open until that response is written.
         """
-        self._input.queue.clear()
+        self._input.drop()
         self._report_disconnect()
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Release the connection's resources."""
         self._enter(CLOSED)
         self._input.close()
+        self.update_unwritten()
         self._report_disconnect()
 
     def pause_writing(self) -> None:
         """Stop serving requests: the client reads more slowly than responses are written."""
-        self._writer.paused = True
+        self.writer.paused = True
 
     def resume_writing(self) -> None:
         """Serve the waiting requests: the client has read enough of the earlier responses."""
-        self._writer.paused = False
+        self.writer.paused = False
+        self.update_unwritten()
         self._serve_next()
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for the next bytes."""
-        return self._owner.read_buffer
+        return self._memory.next_read_buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes, and serve the first request that is complete.
@@ -123,8 +132,7 @@
             if connection_input.discard(nbytes):
                 self.abort(CloseReason.FLOOD)
             return
-        must_wait = self._state is SERVING or self._state is WAITING or self._writer.paused
-        connection_input.feed(nbytes, self._loop.time(), must_wait=must_wait)
+        connection_input.feed(nbytes, self._loop.time())
         if connection_input.queue:
             self._serve_next()
         elif connection_input.parser.reading:
@@ -157,38 +165,41 @@
         """Return whether the client has closed its connection, even if the close has not been read yet."""
         return self._socket.has_disconnected()
 
-    def has_unread_disconnect(self) -> bool:
-        """Return whether the client has disconnected unnoticed, because reading has stopped."""
-        return self._closer.has_unread_disconnect()
+    def held_bytes(self) -> int:
+        """Return the bytes that the connection holds for its client."""
+        return self._input.held_bytes() + self.writer.held_bytes()
 
-    def is_writing(self) -> bool:
-        """Return whether a response has not been written completely."""
-        return self._writer.is_writing()
+    def update_unwritten(self) -> None:
+        """Update how much of the responses the client has not read."""
+        if not self.writer.update_account():
+            self._registry.writing.pop(self, None)
+        elif self not in self._registry.writing:
+            self._registry.writing[self] = self._loop.time()
 
     def has_read_progress(self) -> bool:
         """Return whether the client has read more of a response since the last call."""
-        return self._writer.has_read_progress(self._loop.time(), self._owner.config.longest_deadline)
+        return self.writer.has_read_progress(self._loop.time(), self._owner.config.longest_deadline)
 
     # ---- requests and responses ----------------------------------------------------------
 
     def _serve_next(self) -> None:
         """Serve the next request, unless an earlier response is still pending or unread."""
-        if self._state is SERVING or self._state is CLOSED or self._writer.paused or not self._input.queue:
+        if self._state is SERVING or self._state is CLOSED or self.writer.paused or not self._input.queue:
             return
         request = self._input.pop()
         if isinstance(request, HttpError):
             self.reject(request)
             return
         self._enter(SERVING)
-        if self._owner.closing_since < inf and not self._closer.reading_stopped:
-            self._closer.stop_reading()
+        if self._owner.closing_since < inf and not self.closer.reading_stopped:
+            self.closer.stop_reading()
         self._keep_alive = request.keep_alive
         try:
             serve_request(request, self, self._owner)
         except HttpError as error:
             self.reject(error, request.request_id)
 
-    def send_response(self, status: int, headers: bytes, body: bytes) -> None:
+    def send_response(self, status: int, headers: bytes, body: bytes | bytearray) -> None:
         """Write the one final response to the request that is being served.
 
         Args:
@@ -200,15 +211,19 @@
         queue = self._input.queue
         # During a graceful shutdown, only requests that have already been received are served.
         keep_alive = self._keep_alive and (self._owner.closing_since == inf or bool(queue))
-        self._writer.write(status, headers, body, keep_alive=keep_alive)
+        self._input.finish_request()
+        self.writer.write(status, headers, body, keep_alive=keep_alive)
+        if self.writer.is_writing():
+            self.update_unwritten()
+            self._memory.make_room_for_response(self)
         now = self._loop.time()
-        self._writer.start_progress(now)
+        self.writer.start_progress(now)
         if not keep_alive:
             self.close(CloseReason.LAST_RESPONSE)
-            queue.clear()
+            self._input.drop()
         elif queue:
             self._enter(WAITING, now + self.idle_timeout)
-            if not self._writer.paused:
+            if not self.writer.paused:
                 self._loop.call_soon(self._serve_next)
         elif self._input.parser.reading:
             self._enter(READING, now + timeouts.REQUEST_TIMEOUT)
@@ -229,12 +244,12 @@
         """
         self.on_disconnect = None
         received_id = self._input.parser.request_id() if request_id is None else request_id
-        self._closer.record_rejection(received_id, error)
+        self.closer.record_rejection(received_id, error)
         rejections = self._input.end(error)
-        self._closer.record(CloseReason.REJECTED, self._state, self._input.queue)
-        self._writer.write_rejections(rejections)
+        self.closer.record(CloseReason.REJECTED, self._state, self._input.queue)
+        self.writer.write_rejections(rejections)
         self._enter(CLOSING, self._loop.time() + timeouts.CLOSING_TIMEOUT)
-        self._closer.end_sending()
+        self.closer.end_sending()
 
     def _report_disconnect(self) -> None:
         on_disconnect, self.on_disconnect = self.on_disconnect, None
@@ -248,16 +263,17 @@
         if self._state is NEW or self._state is IDLE:
             self.close(CloseReason.SHUTDOWN)
         elif self._state is SERVING or self._state is WAITING:
-            self._closer.stop_reading()
+            self.closer.stop_reading()
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection once everything is written."""
-        self._closer.record(reason, self._state, self._input.queue)
+        self.closer.record(reason, self._state, self._input.queue)
         self._enter(CLOSING, self._loop.time() + timeouts.CLOSING_TIMEOUT)
-        self._closer.close()
+        self.closer.close()
 
     def abort(self, reason: CloseReason) -> None:
         """Close the connection immediately."""
-        self._closer.record(reason, self._state, self._input.queue)
+        self.closer.record(reason, self._state, self._input.queue)
         self._enter(CLOSED)
         self._transport.abort()
+        self.update_unwritten()
--- a/proxy/downstream/connection_input.py
+++ b/proxy/downstream/connection_input.py
@@ -1,7 +1,7 @@
 """The input of one client's connection: parses received bytes into requests, and queues them.
 
-It owns the parser, the queue, their limits, and the connection's usage of the memory that all connections
-share. `connection` takes requests from the queue and serves them.
+It owns the parser, the queue, the bytes that are not parsed yet, their limits, and the memory of all of them
+and of the request that is being served. `connection` takes requests from the queue and serves them.
 """
 
 from __future__ import annotations
@@ -10,29 +10,27 @@
 from typing import TYPE_CHECKING, Protocol
 
 from proxy.downstream.errors import HttpError
-from proxy.downstream.request_parser import RequestParser
+from proxy.downstream.request_parser import ClientRequest, RequestParser
 from proxy.downstream.request_queue import RequestQueue
+from proxy.memory_budget import MemoryAccount
 
 if TYPE_CHECKING:
-    from proxy.downstream.request_parser import ClientRequest
+    from proxy.memory_budget import MemoryBudget
 
-#: Requests that may wait behind another one; well-behaved clients send none before the response.
+#: Requests that are parsed while another one is served; well-behaved clients send none before the response.
 MAX_PIPELINED_REQUESTS = 8
+MAX_UNPARSED_BYTES = 64 << 10  # bytes kept behind these requests
 MAX_DISCARDED_BYTES = 64 << 20  # bytes discarded after a rejection before the connection is aborted
 
 
 class SharedMemory(Protocol):
-    """The memory that all connections of a listener share.
-
-    Attributes:
-        read_buffer: The buffer that every connection reads into; its content is valid during one callback.
-        buffered_bytes: Bytes of incomplete bodies, and of requests that wait behind another one.
-        max_buffered_bytes: The limit on `buffered_bytes`.
-    """
+    """The memory that all connections of a listener share; `ClientMemory` documents it."""
 
     read_buffer: memoryview
-    buffered_bytes: int
-    max_buffered_bytes: int
+    budget: MemoryBudget
+
+    def allows(self, held: int) -> bool:
+        """Return whether a connection may hold so many bytes, which are counted already."""
 
 
 class ConnectionInput:
@@ -41,37 +39,77 @@
     Attributes:
         parser: Parses received bytes; its `reading` shows whether a request is incomplete.
         queue: The requests that wait for their turn, and behind them the error that ends the input, if any.
-        ended: Whether a rejection is queued or written, so that further input is discarded.
+        ended: Whether further input is discarded: a rejection is queued or written, or the client has sent
+            too much behind a request that is being served.
     """
 
-    __slots__ = ("_buffered_bytes", "_discarded_bytes", "_memory", "ended", "parser", "queue")
+    __slots__ = (
+        "_account",
+        "_discarded_bytes",
+        "_memory",
+        "_served_bytes",
+        "_unparsed",
+        "_unparsed_since",
+        "ended",
+        "parser",
+        "queue",
+    )
 
     def __init__(self, memory: SharedMemory) -> None:
         self.queue = RequestQueue()
         self.parser = RequestParser(self.queue.append)
         self.ended = False
         self._memory = memory
+        self._account = MemoryAccount(memory.budget)
+        self._served_bytes = 0  # of the request that is being served
+        self._unparsed = b""
+        self._unparsed_since = 0.0  # the event loop's time at which the first of these bytes was received
         self._discarded_bytes = 0
-        self._buffered_bytes = 0  # included for this connection in `SharedMemory.buffered_bytes`
 
-    def feed(self, nbytes: int, now: float, *, must_wait: bool) -> None:
+    def held_bytes(self) -> int:
+        """Return the bytes that are held for the client."""
+        return self._account.held
+
+    def feed(self, nbytes: int, now: float) -> None:
         """Parse received bytes, and queue the requests that are complete.
 
         Args:
             nbytes: The number of received bytes in the shared buffer.
             now: The event loop's time.
-            must_wait: Whether a complete request has to wait for an earlier one or its response.
         """
-        parser = self.parser
-        parser.feed(self._memory.read_buffer[:nbytes], now)
-        self._enforce_limits(must_wait=must_wait)
-        if parser.error is not None:
+        received = self._memory.read_buffer[:nbytes]
+        if self._unparsed:
+            self._keep_unparsed(received)
+        else:
+            self._unparsed_since = now
+            self._parse(received)
+        self._update_account()
+        if not self._memory.allows(self._waiting_bytes()):
+            self._drop_for_memory()
+
+    def _parse(self, data: memoryview) -> None:
+        """Parse bytes until the queue is full; keep the remaining ones unparsed."""
+        while data and len(self.queue) < MAX_PIPELINED_REQUESTS and self.parser.error is None:
+            data = data[self.parser.feed(data, self._unparsed_since) :]
+        self._unparsed = bytes(data) if self.parser.error is None else b""
+        if self.parser.error is not None:
             self.ended = True
-            self.queue.append(parser.error)
-            self._account_for(self._waiting_bytes())
+            self.queue.append(self.parser.error)
+        elif self.ended and not self._unparsed:
+            self.queue.append(HttpError(HTTPStatus.BAD_REQUEST, "too many requests at once"))
+
+    def _keep_unparsed(self, data: memoryview) -> None:
+        """Keep bytes behind a full queue.
+
+        Reading goes on behind a full queue, because the event loop only reports a disconnect that it reads.
+        Beyond the limit the input ends, and is discarded: requests that were kept still get their responses.
+        """
+        size = MAX_UNPARSED_BYTES - len(self._unparsed)
+        self._unparsed += data[:size]
+        self.ended = size < len(data)
 
     def discard(self, nbytes: int) -> bool:
-        """Discard bytes received after a rejection; return whether their limit is exceeded.
+        """Discard bytes received after the end of the input; return whether their limit is exceeded.
 
         Closing a connection with unread bytes would reset it, and the client would lose the response. The
         total is limited, so that a client that never stops sending does not keep a core busy.
@@ -80,12 +118,22 @@
         return self._discarded_bytes > MAX_DISCARDED_BYTES
 
     def pop(self) -> ClientRequest | HttpError:
-        """Remove and return the first request of the queue, or the error that ends the input."""
+        """Remove and return the first request of the queue, or the error that ends the input.
+
+        The memory of a request stays reserved until `finish_request`.
+        """
         item = self.queue.pop()
-        if self._buffered_bytes:
-            self._account_for(self._waiting_bytes())
+        self._served_bytes = item.buffered_bytes() if isinstance(item, ClientRequest) else 0
+        if self._unparsed:
+            self._parse(memoryview(self._unparsed))
+        self._update_account()
         return item
 
+    def finish_request(self) -> None:
+        """Release the memory of the request that was served: it has its response."""
+        self._served_bytes = 0
+        self._update_account()
+
     def end(self, error: HttpError) -> list[HttpError]:
         """End the input because of an error, and release its memory.
 
@@ -95,40 +143,53 @@
         Returns:
             The responses to all requests that have been received, in order.
         """
+        waiting = self._drop_requests()
         self.ended = True
-        rejections = self.queue.reject_all(error)
-        self._account_for(0)
-        return rejections
+        self.parser.reject(error)
+        self.finish_request()
+        return self.queue.reject_all(error, waiting)
+
+    def drop(self) -> None:
+        """Drop all requests that wait, and the beginning of one, without a response."""
+        self.queue.clear()
+        self._unparsed = b""
+        self._update_account()
 
     def close(self) -> None:
         """Release the memory of requests and the parser's resources; the connection is closed."""
         self.queue.clear()
-        self._account_for(0)
+        self._unparsed = b""
+        self._account.update(0)
         self.parser.close()
 
-    def _enforce_limits(self, *, must_wait: bool) -> None:
-        """End the input if it uses too much memory or contains too many requests.
+    def _drop_for_memory(self) -> None:
+        """End the input to release its memory: the requests of all clients together would fill it.
 
-        Without a limit, many incomplete bodies and waiting requests of all connections together would exceed
-        the memory limit. So would many pipelined requests on a single connection, which would also overload
-        backends.
+        Each request that was received gets a response.
         """
-        parser, memory, queue = self.parser, self._memory, self.queue
-        buffered = self._waiting_bytes() if must_wait else parser.buffered_bytes()
-        self._account_for(buffered)
-        if buffered and memory.buffered_bytes > memory.max_buffered_bytes:
-            parser.error = HttpError(HTTPStatus.SERVICE_UNAVAILABLE, "too many bodies at once")
-            if must_wait:
-                queue.drop_requests(has_incomplete=parser.reading)
-        if len(queue) > MAX_PIPELINED_REQUESTS:
-            queue.clear()
-            parser.error = HttpError(HTTPStatus.BAD_REQUEST, "too many requests at once")
+        complete = self._drop_requests()
+        self.ended = True
+        if self.parser.error is None:
+            # The error is the response to the incomplete request, or else to the last one.
+            complete -= not self.parser.reading
+            self.parser.reject(HttpError(HTTPStatus.SERVICE_UNAVAILABLE, "too many bodies at once"))
+        self.queue.add_dropped(complete)
+        assert self.parser.error is not None
+        self.queue.append(self.parser.error)
+        self._update_account()
+
+    def _drop_requests(self) -> int:
+        """Drop all requests that wait, and return how many were complete."""
+        complete = len(self.queue.requests())
+        self.queue.clear()
+        while self._unparsed:
+            self._parse(memoryview(self._unparsed))
+            complete += len(self.queue.requests())
+            self.queue.clear()
+        return complete
 
     def _waiting_bytes(self) -> int:
-        """Return the bytes of an incomplete body and of all waiting requests."""
-        return self.parser.buffered_bytes() + self.queue.buffered_bytes()
+        return self.parser.buffered_bytes() + self.queue.buffered_bytes() + len(self._unparsed)
 
-    def _account_for(self, buffered_bytes: int) -> None:
-        """Set this connection's bytes in the total of all connections."""
-        self._memory.buffered_bytes += buffered_bytes - self._buffered_bytes
-        self._buffered_bytes = buffered_bytes
+    def _update_account(self) -> None:
+        self._account.update(self._waiting_bytes() + self._served_bytes)
--- a/proxy/downstream/connection_state.py
+++ b/proxy/downstream/connection_state.py
@@ -39,5 +39,6 @@
     REJECTED = "rejected"  # a request is malformed or can't be served
     LAST_RESPONSE = "last_response"  # the client or a shutdown allows no further request on it
     SHUTDOWN = "shutdown"  # it was new or idle when a shutdown closed connections
+    NOT_READING = "not_reading"  # the client does not read its response, and the memory is used up
     FLOOD = "flood"  # the client sent too many bytes after a rejection
     CLIENT_DISCONNECTED = "client_disconnected"  # detected by polling the socket, as reading has stopped
--- a/proxy/downstream/eviction.py
+++ b/proxy/downstream/eviction.py
@@ -10,7 +10,7 @@
 import asyncio
 import itertools
 from http import HTTPStatus
-from typing import Generic, Protocol, TypeVar
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from proxy.downstream import timeouts
 from proxy.downstream.connection_state import (
@@ -24,15 +24,24 @@
 )
 from proxy.downstream.errors import HttpError
 
+if TYPE_CHECKING:
+    from proxy.downstream.response_writer import ResponseWriter
+
 SHORTAGE_FRACTION = 0.5  # of `max_connections`; above it, idle connections are closed earlier
 EXTRA_READING_CONNECTIONS = 8  # allowed above the limit while their requests are read: most soon complete
 
 
 class EvictableConnection(Protocol):
-    """The methods of a connection that the registry calls."""
+    """The parts of a connection that the registry uses.
+
+    Attributes:
+        writer: Writes its responses.
+    """
+
+    writer: ResponseWriter
 
-    def is_writing(self) -> bool:
-        """Return whether a response has not been written completely."""
+    def update_unwritten(self) -> None:
+        """Update how much of its responses the client has not read."""
 
     def has_read_progress(self) -> bool:
         """Return whether the client has read more of a response since the last call."""
@@ -59,6 +68,8 @@
         open: All connections that use a descriptor, in any state.
         new, reading, idle, waiting, closing: The deadlines of the connections in the state of that name, in
             the order of eviction. Connections in `waiting` have a pending response, and are not evicted.
+        writing: The connections whose client has not read all of its responses, in the order in which that
+            began, with the event loop's time of the last write.
         deadlines_by_state: The same five mappings, indexed by `ConnectionState`. None for SERVING, where the
             request has a deadline itself, and for CLOSED.
     """
@@ -71,6 +82,7 @@
         self.idle: dict[ConnectionT, float] = {}
         self.waiting: dict[ConnectionT, float] = {}
         self.closing: dict[ConnectionT, float] = {}
+        self.writing: dict[ConnectionT, float] = {}
         by_state = {
             NEW: self.new,
             READING: self.reading,
@@ -105,7 +117,7 @@
         reading = self.reading if request_complete or excess > EXTRA_READING_CONNECTIONS else ()
         for candidates in (self.closing, silent, self.idle, self.new, reading):
             for candidate in candidates:
-                if candidate is not connection and not candidate.is_writing():
+                if candidate is not connection and not candidate.writer.is_writing():
                     candidate.abort(CloseReason.EVICTED)
                     return True
         return False
@@ -118,6 +130,8 @@
         """
         self._loop.call_later(timeouts.SWEEP_INTERVAL, self._sweep)
         now = self._loop.time()
+        for connection in tuple(self.writing):
+            connection.update_unwritten()
         descriptors_are_short = len(self.open) > SHORTAGE_FRACTION * self.max_connections
         idle_advance = timeouts.IDLE_TIMEOUT - timeouts.MIN_IDLE_TIMEOUT if descriptors_are_short else 0.0
         advance_by_state = (
--- a/proxy/downstream/listener.py
+++ b/proxy/downstream/listener.py
@@ -13,10 +13,10 @@
 from typing import TYPE_CHECKING
 
 from proxy.downstream.acceptor import Acceptor
+from proxy.downstream.client_memory import ClientMemory
 from proxy.downstream.connection import DownstreamConnection
 from proxy.downstream.connection_state import CloseReason
 from proxy.downstream.eviction import ConnectionRegistry
-from proxy.http_common import READ_BUFFER_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,9 +26,9 @@
     from proxy.downstream.request_parser import ClientRequest
     from proxy.event_log import EventLog
     from proxy.invariants import InvariantMonitor
+    from proxy.memory_budget import MemoryBudget
     from proxy.response_sink import ResponseSink
 
-BUFFERED_MEMORY_FRACTION = 0.25  # of the memory limit, for incomplete bodies and waiting requests
 LISTEN_BACKLOG = 1024  # connections in the accept queue
 
 
@@ -48,15 +48,14 @@
         closing_since: The event loop's time from which responses close their connection; infinite until
             `stop_keepalive` is called.
         last_accepted_at: The event loop's time at which the latest connection was accepted.
-        read_buffer: The buffer that every connection reads into; its content is valid during one callback.
-        buffered_bytes: Bytes of incomplete bodies, and of requests that wait behind another one.
-        max_buffered_bytes: The limit on `buffered_bytes`.
+        memory: The memory that all connections share.
     """
 
     def __init__(
         self,
         config: Config,
         max_connections: int,
+        memory: MemoryBudget,
         on_request: Callable[[ClientRequest, ClassifiedRequest, ResponseSink], None],
         monitor: InvariantMonitor,
         event_log: EventLog,
@@ -71,12 +70,15 @@
         self.serving = False
         self.closing_since = inf
         self.last_accepted_at = 0.0
-        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
-        self.buffered_bytes = 0
-        self.max_buffered_bytes = int(BUFFERED_MEMORY_FRACTION * config.memory_limit)
+        self.memory = ClientMemory(memory, self.connections)
         self._socket: socket.socket | None = None
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes that are held for all clients and backends."""
+        return self.memory.budget.reserved
+
     def apply_config(self, config: Config, version: str) -> None:
         """Classify requests that are received from now on by another configuration."""
         self.config = config
@@ -130,5 +132,5 @@
     def close_disconnected(self) -> None:
         """Close connections whose client has disconnected unnoticed, because reading has stopped."""
         for connection in tuple(self.connections.open):
-            if connection.has_unread_disconnect():
+            if connection.closer.has_unread_disconnect():
                 connection.abort(CloseReason.CLIENT_DISCONNECTED)
--- a/proxy/downstream/request_parser.py
+++ b/proxy/downstream/request_parser.py
@@ -25,8 +25,13 @@
     from collections.abc import Callable
 
 MAX_HEAD_BYTES = 16 << 10  # bytes of a request's head; backends commonly accept this size
+MAX_HEADER_FIELDS = 256  # header lines of a request; each takes time to parse, however short it is
 MAX_WIRE_BYTES = 8 * MAX_BODY_BYTES  # bytes of a request as sent; one-byte chunks need six times the body
 SUPPORTED_VERSIONS = ("1.1", "1.0")
+END_OF_HEAD = b"\r\n\r\n"
+HEAD_PART_BYTES = 4 << 10  # bytes of a head that are parsed at a time
+CHUNKED_PART_BYTES = 512  # bytes of a chunked body that are parsed at a time: its end is not known beforehand
+REQUEST_BYTES = 1 << 10  # memory of a request without its headers and its body
 
 #: Headers, in lower case, whose values the proxy reads itself.
 INTERPRETED_HEADERS = frozenset(
@@ -72,8 +77,9 @@
         return self.headers.get(b"x-request-id", b"")
 
     def buffered_bytes(self) -> int:
-        """Return the bytes of memory that the request uses while it waits."""
-        return len(self.target) + len(self.forwarded_headers) + len(self.body)
+        """Return the bytes of memory that the request uses."""
+        # The interpreted headers are among the forwarded ones too.
+        return REQUEST_BYTES + len(self.target) + 2 * len(self.forwarded_headers) + len(self.body)
 
 
 class RequestParser:
@@ -93,35 +99,85 @@
         self.error: HttpError | None = None
         self.reading = False
         self.started_at = 0.0
+        self._requests = 0  # complete requests
+        self._head_end = b""  # the last bytes of an incomplete head, in which its end may have begun
         self._reset()
 
     def close(self) -> None:
         """Release the parser: only the garbage collector would free the cycle of it and this object."""
         del self._parser, self._on_request
 
-    def feed(self, data: memoryview, now: float) -> None:
-        """Parse bytes that were received at the event loop's time `now`."""
-        was_reading, self._now = self.reading, now
+    def feed(self, data: memoryview, now: float) -> int:
+        """Parse the beginning of received bytes, and return how many were parsed.
+
+        At most one request becomes complete, unless the end of a chunked body can't be seen beforehand.
+
+        Args:
+            data: Bytes that were received and are not parsed yet; at least one.
+            now: The event loop's time at which they were received.
+        """
+        was_reading, requests_before, self._now = self.reading, self._requests, now
+        part = data[: self._next_part_size(data)]
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(part)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(HTTPStatus.BAD_REQUEST, "the request is malformed")
-        if was_reading and self.reading:
-            # An endless header is never passed to the callbacks below, and endless chunk framing is passed to
-            # them only in small pieces: without this limit, both would fill the memory.
-            self._wire_bytes += len(data)
-            if not self._head_complete and self._wire_bytes > MAX_HEAD_BYTES:
-                self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
-            elif self._wire_bytes > MAX_WIRE_BYTES:
-                self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the request is too large")
+        if self.reading and (not was_reading or requests_before == self._requests):
+            self._count_wire_bytes(len(part))
+        if self.error is not None:
+            self._release_buffers()
+        return len(part)
+
+    def reject(self, error: HttpError) -> None:
+        """End the input with an error, and release the memory of the incomplete request."""
+        self.error = error
+        self._release_buffers()
+
+    def _release_buffers(self) -> None:
+        """Release the memory of the incomplete request, except for its id; nothing is parsed any more."""
+        request_id = self.request_id()
+        self._reset()
+        self._headers[b"x-request-id"] = request_id
+        self.reading = False
+        # The previous parser may hold a long header that is incomplete.
+        self._parser = httptools.HttpRequestParser(None)
+
+    def _next_part_size(self, data: memoryview) -> int:
+        """Return how many bytes to parse, so that the part does not extend beyond the current request."""
+        if self.reading and self._head_complete:
+            if self._content_length is None:
+                return CHUNKED_PART_BYTES
+            return self._content_length - self._body_bytes
+        # The end of the head may have begun in the previous part.
+        overlap = self._head_end
+        head = overlap + bytes(data[:HEAD_PART_BYTES])
+        position = head.find(END_OF_HEAD)
+        self._head_end = head[1 - len(END_OF_HEAD) :] if position < 0 else b""
+        return HEAD_PART_BYTES if position < 0 else position + len(END_OF_HEAD) - len(overlap)
+
+    def _count_wire_bytes(self, nbytes: int) -> None:
+        """Count bytes of an incomplete request.
+
+        An endless header is never passed to the callbacks below, and endless chunk framing is passed to them
+        only in small pieces: without these limits, both would fill the memory.
+        """
+        self._wire_bytes += nbytes
+        if not self._head_complete and self._wire_bytes > MAX_HEAD_BYTES:
+            self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
+        elif self._wire_bytes > MAX_WIRE_BYTES:
+            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the request is too large")
 
     def request_id(self) -> bytes:
         """Return the client's id of the latest request; empty if it was not received."""
         return self._headers.get(b"x-request-id", b"")
 
     def buffered_bytes(self) -> int:
-        """Return the bytes of the body of an incomplete request."""
-        return min(self._body_bytes, MAX_BODY_BYTES) if self.reading else 0
+        """Return the bytes of an incomplete request, which may be in two places while a header is read."""
+        if not self.reading:
+            return 0
+        if not self._head_complete:
+            return REQUEST_BYTES + 2 * self._wire_bytes
+        return REQUEST_BYTES + 2 * len(self._forwarded_headers) + len(self._body)
 
     def _fail(self, status: HTTPStatus, reason: str) -> None:
         if self.error is None:
@@ -131,9 +187,11 @@
         self._target: list[bytes] = []
         self._headers: dict[bytes, bytes] = {}
         self._connection_options = b""  # the values of all `Connection` headers, each after a comma
-        self._forwarded_headers: list[bytes] = []
-        self._body: list[bytes] = []
-        self._head_bytes = self._body_bytes = self._wire_bytes = 0
+        # One buffer each: as an object of its own, a short header or chunk would take many times its size.
+        self._forwarded_headers = bytearray()
+        self._body = bytearray()
+        self._head_bytes = self._head_fields = self._body_bytes = self._wire_bytes = 0
+        self._content_length: int | None = 0  # None: the body is chunked
         self._head_complete = False
 
     # ---- the parser's callbacks ------------------------------------------------------------
@@ -153,7 +211,8 @@
         if self._head_complete or self.error is not None:
             return
         self._head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
-        if self._head_bytes > MAX_HEAD_BYTES:
+        self._head_fields += 1
+        if self._head_bytes > MAX_HEAD_BYTES or self._head_fields > MAX_HEADER_FIELDS:
             self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
         elif not value.isascii():  # some backends close the connection when they can't decode a header
             self._fail(HTTPStatus.BAD_REQUEST, "a header is not plain text")
@@ -167,16 +226,20 @@
             self._headers[lower_name] = value
         elif lower_name == b"connection":
             self._connection_options += b"," + value.lower()
-        elif lower_name == b"content-length" and int(value) > MAX_BODY_BYTES:
-            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
-        elif lower_name == b"transfer-encoding" and value.lower() != b"chunked":
-            # A backend might find the end of the body at another place, and parse the remaining bytes as a
-            # separate request (request smuggling).
-            self._fail(HTTPStatus.BAD_REQUEST, "the transfer coding is unknown")
+        elif lower_name == b"content-length":
+            self._content_length = int(value)
+            if self._content_length > MAX_BODY_BYTES:
+                self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+        elif lower_name == b"transfer-encoding":
+            self._content_length = None
+            if value.lower() != b"chunked":
+                # A backend might find the end of the body at another place, and parse the remaining bytes as
+                # a separate request (request smuggling).
+                self._fail(HTTPStatus.BAD_REQUEST, "the transfer coding is unknown")
         # A name with `_` is not forwarded: a backend that treats `_` as `-` would read a header that has not
         # been checked here.
         if lower_name != b"x-timeout" and lower_name not in HOP_BY_HOP_HEADERS and b"_" not in lower_name:
-            self._forwarded_headers.append(b"%b: %b\r\n" % (name, value))
+            self._forwarded_headers += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         """Parser callback: the head is complete."""
@@ -199,32 +262,37 @@
         """
         if not names.isdisjoint(INTERPRETED_HEADERS):
             self._fail(HTTPStatus.BAD_REQUEST, "a header can't be dropped")
-        self._forwarded_headers = without_headers(self._forwarded_headers, names)
+        lines = bytes(self._forwarded_headers).splitlines(keepends=True)
+        self._forwarded_headers = bytearray().join(without_headers(lines, names))
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: a piece of the body."""
+        if self.error is not None:
+            return
         self._body_bytes += len(body)
         if self._body_bytes <= MAX_BODY_BYTES:
-            self._body.append(body)
+            self._body += body
         else:
             self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
 
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete."""
         self.reading = False
+        self._requests += 1
         target = b"".join(self._target)
         if b"#" in target:
             self._fail(HTTPStatus.BAD_REQUEST, "the target is malformed")
         if self.error is not None:
             return
-        self._on_request(
-            ClientRequest(
-                self._parser.get_method(),
-                target,
-                self._headers,
-                b"".join(self._forwarded_headers),
-                b"".join(self._body),
-                self.started_at,
-                self._parser.should_keep_alive(),
-            )
+        request = ClientRequest(
+            self._parser.get_method(),
+            target,
+            self._headers,
+            bytes(self._forwarded_headers),
+            bytes(self._body),
+            self.started_at,
+            self._parser.should_keep_alive(),
         )
+        # The parser waits for the next request, and must not keep a copy of this one.
+        self._forwarded_headers, self._body = bytearray(), bytearray()
+        self._on_request(request)
--- a/proxy/downstream/request_queue.py
+++ b/proxy/downstream/request_queue.py
@@ -41,15 +41,9 @@
         """Drop all items: the client has disconnected, or one response is enough for all of them."""
         self._items.clear()
 
-    def drop_requests(self, *, has_incomplete: bool) -> None:
-        """Drop the requests to release their memory, but count them: each still needs a response.
-
-        Args:
-            has_incomplete: Whether the beginning of a further request has been received. The error that ends
-                the input is the response to that one; otherwise, to the last request dropped here.
-        """
-        self._dropped += len(self._items) - (not has_incomplete)
-        self._items.clear()
+    def add_dropped(self, count: int) -> None:
+        """Count requests that were dropped to release their memory: each still needs a response."""
+        self._dropped += count
 
     def requests(self) -> list[ClientRequest]:
         """Return the waiting requests."""
@@ -59,12 +53,12 @@
         """Return the bytes of memory that the waiting requests use."""
         return sum(request.buffered_bytes() for request in self.requests())
 
-    def reject_all(self, error: HttpError) -> list[HttpError]:
+    def reject_all(self, error: HttpError, waiting: int) -> list[HttpError]:
         """Drop all items, as an error ends the connection, and return the pending responses in order.
 
         Args:
             error: The response to the current request.
+            waiting: The number of complete requests behind it.
         """
-        responses = [CONNECTION_ENDS] * self._dropped + [error] + [CONNECTION_ENDS] * len(self.requests())
         self._items.clear()
-        return responses
+        return [CONNECTION_ENDS] * self._dropped + [error] + [CONNECTION_ENDS] * waiting
--- a/proxy/logged_events.py
+++ b/proxy/logged_events.py
@@ -15,6 +15,7 @@
 class Event(StrEnum):
     """The names of the events, as the log shows them."""
 
+    STARTED = "started"
     REQUEST_RECEIVED = "request_received"
     ATTEMPT_STARTED = "attempt_started"
     ATTEMPT_REJECTED = "attempt_rejected"
@@ -32,6 +33,24 @@
     DROPPED = "dropped"
 
 
+@dataclass(slots=True, kw_only=True)
+class Started:
+    """The proxy is about to accept connections; all sizes are in bytes.
+
+    Attributes:
+        memory_limit: The memory that the process may use.
+        resident: The memory that it uses before it serves any request.
+        memory_for_peers: The limit on what is held for clients and backends.
+        fair_share: The part of it that each client's connection may always use.
+    """
+
+    event: ClassVar = Event.STARTED
+    memory_limit: int
+    resident: int
+    memory_for_peers: int
+    fair_share: int
+
+
 @dataclass(slots=True, kw_only=True)
 class RequestReceived:
     """A client's request was accepted.
@@ -258,7 +277,8 @@
 
 
 LoggedEvent = (
-    RequestReceived
+    Started
+    | RequestReceived
     | AttemptStarted
     | AttemptRejected
     | AttemptWritten
--- a/proxy/process.py
+++ b/proxy/process.py
@@ -32,9 +32,20 @@
 EXIT_OK = 0
 EXIT_CAN_NOT_LISTEN = 1
 EXIT_BAD_CONFIG = 2
+RESIDENT_FIELD = 1  # index of the resident pages in /proc/self/statm
 TERMINATION_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
+def resident_bytes() -> int:
+    """Return the resident memory of this process in bytes; 0 if the system does not tell it."""
+    try:
+        with open("/proc/self/statm", "rb") as statm:
+            resident_pages = int(statm.read().split()[RESIDENT_FIELD])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return resident_pages * os.sysconf("SC_PAGE_SIZE")
+
+
 def report_exception(loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
     """Report an exception in a callback, except for a client's reset while its connection is being closed.
 
@@ -68,11 +79,12 @@
     # The cached list may not show backends that have begun to drain, but discovery's list does. Until
     # discovery's list has arrived, or the wait for it has timed out, connections wait in the accept queue.
     await proxy.endpoints_loaded.wait()
-    listening_socket = await proxy.listener.listen()
     # The objects created so far stay until the end, so that the garbage collector need not examine them
     # again.
     gc.collect()
     gc.freeze()
+    proxy.limit_memory(resident_bytes())
+    listening_socket = await proxy.listener.listen()
     await termination_requested.wait()
     proxy.event_log.record(ShutdownStarted())
     await proxy.shutdown.run(listening_socket)
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -22,7 +22,8 @@
 from proxy.endpoint_table import EndpointTable
 from proxy.event_log import EventLog
 from proxy.invariants import InvariantMonitor
-from proxy.logged_events import EndpointsUpdated
+from proxy.logged_events import EndpointsUpdated, Started
+from proxy.memory_budget import MemoryBudget, budget_limit
 from proxy.reload import ConfigReloader, ReloadTargets
 from proxy.shutdown import GracefulShutdown
 from proxy.upstream import ConnectionPool
@@ -70,6 +71,7 @@
         clock: The balancer's clock.
         reader: Converts the entries of the endpoint list.
         balancer: Decides where requests are sent.
+        memory: The limit on the bytes that are held for peers.
         pool: The connections to backends.
         endpoint_table: The backends of the endpoint list.
         discovery: The watch on discovery.
@@ -91,8 +93,10 @@
         self.reader = EndpointReader(config.zone_indices, config.machine_type_indices)
         self.balancer = Balancer(self.reader.translate_settings(config), config.seed)
         limits = connection_limits(config.max_sockets)
+        self._max_connections = limits.clients + limits.backends
+        self.memory = MemoryBudget(budget_limit(config.memory_limit, resident=0, connections=0))
         self.pool = ConnectionPool(
-            limits.backends, config.backend_idle_timeout, config.dial_timeout, config.memory_limit
+            limits.backends, config.backend_idle_timeout, config.dial_timeout, self.memory
         )
         self.endpoint_table = EndpointTable(self.pool)
         cached_list = self.reader.read_list(config.cached_list)
@@ -111,12 +115,29 @@
             )
         )
         self.listener = Listener(
-            config, limits.clients, self.dispatcher.on_request, self.monitor, self.event_log
+            config, limits.clients, self.memory, self.dispatcher.on_request, self.monitor, self.event_log
         )
         self.shutdown = GracefulShutdown(self.listener, self.dispatcher)
         self.reloader = ConfigReloader(self._reload_targets(), self.shutdown.has_started)
         self._start(config, cached_list.endpoints)
 
+    def limit_memory(self, resident: int) -> None:
+        """Limit what is held for peers to the memory that the process does not use for itself.
+
+        Args:
+            resident: The memory in bytes that the process uses before it accepts connections.
+        """
+        self.memory.limit = budget_limit(self.listener.config.memory_limit, resident, self._max_connections)
+        self.listener.memory.update_fair_share()
+        self.event_log.record(
+            Started(
+                memory_limit=self.listener.config.memory_limit,
+                resident=resident,
+                memory_for_peers=self.memory.limit,
+                fair_share=self.listener.memory.fair_share,
+            )
+        )
+
     def _reload_targets(self) -> ReloadTargets:
         return ReloadTargets(
             reader=self.reader,
--- a/proxy/responder.py
+++ b/proxy/responder.py
@@ -39,7 +39,12 @@
         self._event_log = event_log
 
     def respond(
-        self, active_request: ActiveRequest, status: int, headers: bytes, body: bytes, reason: str = ""
+        self,
+        active_request: ActiveRequest,
+        status: int,
+        headers: bytes,
+        body: bytes | bytearray,
+        reason: str = "",
     ) -> None:
         """Send the final response, if it is still pending.
 
--- a/proxy/response_sink.py
+++ b/proxy/response_sink.py
@@ -21,7 +21,7 @@
 
     on_disconnect: Callable[[], None] | None
 
-    def send_response(self, status: int, headers: bytes, body: bytes) -> None:
+    def send_response(self, status: int, headers: bytes, body: bytes | bytearray) -> None:
         """Send the final response.
 
         Args:
--- a/proxy/upstream/__init__.py
+++ b/proxy/upstream/__init__.py
@@ -2,8 +2,7 @@
 
 Start reading at `connection_pool`. It finds a connection for each `attempt`: either one of
 `idle_connections`, if `keepalive_policy` allows its reuse, or a new one. `connection` is a single connection,
-`response_parser` parses the bytes received on it, `memory_budget` limits the memory of incomplete responses,
-and `backend` is one backend of the endpoint list.
+`response_parser` parses the bytes received on it, and `backend` is one backend of the endpoint list.
 
 Only `balancer` decides which endpoint serves a request and whether a retry follows.
 """
--- a/proxy/upstream/connection.py
+++ b/proxy/upstream/connection.py
@@ -10,13 +10,13 @@
 import select
 from typing import TYPE_CHECKING, Protocol
 
-from proxy.upstream.response_parser import ResponseParser, ResponseState
+from proxy.upstream.response_parser import GUARANTEED_BYTES, ResponseParser, ResponseState
 
 if TYPE_CHECKING:
+    from proxy.memory_budget import MemoryBudget
     from proxy.upstream.attempt import UpstreamAttempt
     from proxy.upstream.backend import Backend
     from proxy.upstream.keepalive_policy import KeepalivePolicy
-    from proxy.upstream.memory_budget import MemoryBudget
 
 
 class ConnectionOwner(Protocol):
@@ -25,7 +25,7 @@
     Attributes:
         read_buffer: The buffer into which all connections read. Its content is valid during one callback
             only.
-        response_memory: The limit on the total bytes of incomplete responses.
+        response_memory: The limit on the bytes of incomplete responses, among others.
         keepalive_policy: Records whether reuse of connections succeeded, by their idle time.
     """
 
@@ -127,8 +127,10 @@
         self._transport.abort()
 
     def get_buffer(self, _sizehint: int) -> memoryview:
-        """Transport callback: return the buffer to read into."""
-        return self._owner.read_buffer
+        """Transport callback: return the buffer to read into, short while there is little memory left."""
+        buffer, memory = self._owner.read_buffer, self._owner.response_memory
+        is_short = memory.missing(len(buffer)) > 0 and not self._parser.has_grant
+        return buffer[:GUARANTEED_BYTES] if is_short else buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Transport callback: bytes have been read into the buffer."""
@@ -140,14 +142,34 @@
             return
         self._response_started = True
         parser = self._parser
-        state = parser.feed(self._owner.read_buffer[:nbytes])
-        if state is ResponseState.COMPLETE:
+        parser.feed(self._owner.read_buffer[:nbytes])
+        may_read_on = parser.reserve_memory()
+        if parser.state is ResponseState.COMPLETE:
             self._finish_attempt(attempt)
-        elif state is ResponseState.UNUSABLE:
+        elif parser.state is ResponseState.UNUSABLE:
             attempt.fail()
+        elif not may_read_on:
+            self._wait_for_memory(attempt)
         elif parser.receiving:
             attempt.on_response_progress(self._owner.now())
 
+    def _wait_for_memory(self, attempt: UpstreamAttempt) -> None:
+        """Read the remainder of the response once there is memory for it, or else until the deadline."""
+        self._transport.pause_reading()
+        attempt.start_timer()
+        self._owner.response_memory.wait(self._read_on)
+
+    def _read_on(self) -> bool:
+        """Continue to read if there is memory for the response; return whether it does not wait any more."""
+        attempt = self._attempt
+        if attempt is None or self._transport.is_closing():
+            return True
+        if not self._parser.reserve_memory():
+            return False
+        self._transport.resume_reading()
+        attempt.on_response_progress(self._owner.now())
+        return True
+
     def eof_received(self) -> None:
         """Transport callback: the backend closed normally, which ends a response without a length."""
         attempt = self._attempt
@@ -167,6 +189,7 @@
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Transport callback: the connection has ended."""
+        self._owner.response_memory.stop_waiting(self._read_on)
         self._parser.close()
         self._owner.on_closed(self)
         if self._attempt is not None:
--- a/proxy/upstream/connection_pool.py
+++ b/proxy/upstream/connection_pool.py
@@ -1,7 +1,7 @@
 """The pool of connections to backends: finds a connection for each attempt, and limits their number.
 
 It owns the dials in progress, the count of connections, and the resources that all connections share: the
-read buffer, the memory budget and the keepalive policy. `IdleConnections` owns the idle connections,
+read buffer and the keepalive policy. `IdleConnections` owns the idle connections,
 `UpstreamAttempt` the timer and outcome of an attempt, and `UpstreamConnection` the bytes on a connection.
 """
 
@@ -15,29 +15,25 @@
 from proxy.upstream.connection import UpstreamConnection
 from proxy.upstream.idle_connections import IdleConnections
 from proxy.upstream.keepalive_policy import KeepalivePolicy
-from proxy.upstream.memory_budget import MemoryBudget
 
 if TYPE_CHECKING:
     from proxy.address import Address
+    from proxy.memory_budget import MemoryBudget
     from proxy.upstream.attempt import UpstreamAttempt
     from proxy.upstream.backend import Backend
 
-#: The fraction of the process's memory limit that incomplete responses may use: without a limit, many large
-#: responses at once could fill the memory.
-RESPONSE_MEMORY_FRACTION = 0.125
-
 
 class ConnectionPool:
     """Connections to backends, with a limit on their number.
 
     Attributes:
         read_buffer: The buffer into which all connections read; its bytes are parsed before the next read.
-        response_memory: The limit on the total bytes of incomplete responses.
+        response_memory: The limit on the bytes of incomplete responses, which clients' requests share.
         keepalive_policy: Limits the idle time after which connections are reused.
     """
 
     def __init__(
-        self, max_connections: int, backend_idle_timeout: float, dial_timeout: float, memory_limit: int
+        self, max_connections: int, backend_idle_timeout: float, dial_timeout: float, memory: MemoryBudget
     ) -> None:
         """Prepare an empty pool.
 
@@ -45,11 +41,11 @@
             max_connections: The largest number of connections, established ones and dials in progress.
             backend_idle_timeout: Seconds after which backends close idle connections.
             dial_timeout: Seconds after which a dial fails.
-            memory_limit: The memory in bytes that the process may use.
+            memory: The limit on the bytes that are held for peers.
         """
         self._loop = asyncio.get_running_loop()
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
-        self.response_memory = MemoryBudget(int(RESPONSE_MEMORY_FRACTION * memory_limit))
+        self.response_memory = memory
         self.keepalive_policy = KeepalivePolicy(self._loop.time())
         self._max_connections = max_connections
         self._dial_timeout = dial_timeout
--- a/proxy/upstream/response_parser.py
+++ b/proxy/upstream/response_parser.py
@@ -17,18 +17,27 @@
 from proxy.http_common import (
     HEADER_OVERHEAD_BYTES,
     HOP_BY_HOP_HEADERS,
+    MAX_BODY_BYTES,
     READ_BUFFER_BYTES,
     connection_options,
     without_headers,
 )
+from proxy.memory_budget import MemoryAccount
 
 if TYPE_CHECKING:
-    from proxy.upstream.memory_budget import MemoryBudget
+    from proxy.memory_budget import MemoryBudget
 
 #: Bytes of the body of one response. The protocol's limit is 64 KiB, but some backends exceed it: responses
 #: of 350 KB occurred.
 MAX_RESPONSE_BODY_BYTES = 1 << 20
 
+#: Of the memory for all peers, for the body of one response: it is copied while it is passed on.
+MAX_BUDGET_FRACTION = 0.25
+
+#: Bytes of an incomplete response that are kept even if the memory is used up, so that small responses are
+#: passed on whatever others do.
+GUARANTEED_BYTES = 2 << 10
+
 #: Bytes of the head of a response, including the heads of interim responses: the usual limit of HTTP clients.
 MAX_RESPONSE_HEAD_BYTES = 16 << 10
 
@@ -67,7 +76,7 @@
 
     status: int
     head: bytes
-    body: bytes
+    body: bytes | bytearray
     not_processed: bool
 
     def outcome(self) -> Outcome:
@@ -84,12 +93,14 @@
     Attributes:
         state: How far the response has been read.
         receiving: Whether a message has begun and is not complete.
+        has_grant: Whether it may be received to its end, although it needs much memory.
         keep_alive: Whether the input so far allows another request on this connection.
     """
 
     def __init__(self, memory: MemoryBudget) -> None:
         self._memory = memory
-        self._buffered_bytes = 0  # reserved by this parser in the memory budget
+        self._account = MemoryAccount(memory)
+        self.has_grant = False
         self._http_parser = httptools.HttpResponseParser(self)
         self.reset()
 
@@ -99,10 +110,12 @@
         self.receiving = False
         self.keep_alive = True
         self._response: UpstreamResponse | None = None
-        self._header_lines: list[bytes] = []
-        self._body_pieces: list[bytes] = []
+        # One buffer each: as an object of its own, a short header or chunk would take many times its size.
+        self._headers = bytearray()
+        self._body = bytearray()
         self._connection_options = b""  # the values of the Connection headers, each preceded by a comma
         self._not_processed = False
+        self._content_length: int | None = None  # bytes of the body; None if the headers do not tell
         self._is_framed = False  # whether the headers define the end of the body
         self._bytes_before_body = 0  # bytes passed to `feed` before the head was complete
         self._header_bytes = 0
@@ -124,6 +137,47 @@
                 self.state = UNUSABLE
         return self.state
 
+    def reserve_memory(self) -> bool:
+        """Reserve the memory of the response if it is incomplete, and return whether it may be read on.
+
+        All of its body is reserved at once: otherwise, responses could wait for each other's memory. A
+        response that becomes complete with one read is passed on without.
+        """
+        if self.state is not HEAD and self.state is not BODY:
+            return True
+        held, needed = self._held_bytes(), self._needed_bytes()
+        additional = needed - self._account.held
+        if self.has_grant and additional > 0 and not self._memory.has_room(additional):
+            self.state = UNUSABLE  # longer than expected
+        elif not self.has_grant and needed > GUARANTEED_BYTES:
+            self.has_grant = self._memory.grant(additional)
+            if not self.has_grant:
+                self._account.update(held)
+                return False
+        self._account.update(needed)
+        return True
+
+    def _held_bytes(self) -> int:
+        if self.state is HEAD:
+            return min(self._bytes_before_body, MAX_RESPONSE_HEAD_BYTES) + len(self._headers)
+        return len(self._headers) + len(self._body)
+
+    def _needed_bytes(self) -> int:
+        """Return the bytes that the response is expected to need."""
+        if self.state is HEAD:
+            return self._held_bytes()
+        expected = MAX_BODY_BYTES if self._content_length is None else self._content_length
+        return len(self._headers) + max(len(self._body), expected)
+
+    def _release_memory(self) -> None:
+        self._account.update(0)
+        if self.has_grant:
+            self.has_grant = False
+            self._memory.end_grant()
+
+    def _max_body_bytes(self) -> float:
+        return min(MAX_RESPONSE_BODY_BYTES, MAX_BUDGET_FRACTION * self._memory.limit)
+
     def end_of_input(self) -> ResponseState:
         """Handle a normal close by the backend, which ends a body without a length or chunked encoding.
 
@@ -153,10 +207,6 @@
         self._release_memory()
         del self._http_parser
 
-    def _release_memory(self) -> None:
-        self._memory.release(self._buffered_bytes)
-        self._buffered_bytes = 0
-
     # ---- callbacks of httptools ----------------------------------------------------------------
 
     def on_message_begin(self) -> None:
@@ -177,7 +227,8 @@
             self._connection_options += b"," + value.lower()
         elif lower_name == b"content-length":
             self._is_framed = True
-            if int(value) > MAX_RESPONSE_BODY_BYTES:
+            self._content_length = int(value)
+            if self._content_length > self._max_body_bytes():
                 self.state = UNUSABLE
         elif lower_name == b"transfer-encoding":
             self._is_framed = True
@@ -185,7 +236,7 @@
                 self.state = UNUSABLE
         # X-Server-Load is meant only for the proxy, and clients may fail to parse headers that are not ASCII.
         elif lower_name not in HOP_BY_HOP_HEADERS and lower_name != b"x-server-load" and value.isascii():
-            self._header_lines.append(b"%b: %b\r\n" % (name, value))
+            self._headers += b"%b: %b\r\n" % (name, value)
         if self._header_bytes > MAX_RESPONSE_HEAD_BYTES:
             self.state = UNUSABLE
 
@@ -204,25 +255,25 @@
         self.state = BODY
         if self._connection_options:
             hop_by_hop_names = connection_options(self._connection_options)
-            self._header_lines = without_headers(self._header_lines, hop_by_hop_names)
+            lines = bytes(self._headers).splitlines(keepends=True)
+            self._headers = bytearray().join(without_headers(lines, hop_by_hop_names))
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: a piece of the body."""
         if self.state is not BODY:
             return
         self._body_bytes += len(body)
-        # Without these limits, an endless response or many large ones at once would fill the memory.
-        if self._body_bytes <= MAX_RESPONSE_BODY_BYTES and self._memory.reserve(len(body)):
-            self._buffered_bytes += len(body)
-            self._body_pieces.append(body)
-        else:
+        if self._body_bytes > self._max_body_bytes():  # an endless response would fill the memory
             self.state = UNUSABLE
+        else:
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Parser callback: the message is complete."""
         if self.state is HEAD:  # an interim response is complete; the next message follows
             self.receiving = False
-            self._header_lines.clear()
+            self._headers.clear()
+            self._content_length = None
             self._connection_options = b""
             self._is_framed = False
         elif self.state is BODY:
@@ -233,9 +284,9 @@
         self.state = COMPLETE
         self._response = UpstreamResponse(
             self._http_parser.get_status_code(),
-            b"".join(self._header_lines),
-            b"".join(self._body_pieces),
+            bytes(self._headers),
+            self._body,
             self._not_processed,
         )
-        self._body_pieces.clear()
+        self._headers, self._body = bytearray(), bytearray()
         self._release_memory()
