Request ids: one whose client left is not run again

Seen by operators: an id ran twice when it came again after its client had left. Forced on sockets: a book is written to a backend, its client closes, half-closes or resets, and the same id comes on another connection: it was sent to a backend a second time, while the first attempt was still out and after it had ended (test_repeated_ids failed by its time limit, as the second request ran instead of getting its 409).

Cause: an id was free again as soon as no response was pending. A 409 is a failure, not a refusal: nothing invites the client to repeat.

A request's own bytes are released once no response is pending: with attempts that may not be cancelled they were kept for clients that had left, counted by nothing.

--- a/proxy/active_request.py
+++ b/proxy/active_request.py
@@ -28,7 +28,7 @@
     Attributes:
         request_id: The balancer's id for it, unique in this process.
         client_request_id: The id that the client gave it.
-        request: The request as the client sent it.
+        request: The request as the client sent it; None once no attempt can be written any more.
         request_class: Its class when it was accepted, restricted by later settings.
         response_sink: The receiver of the final response; None once that is sent or the client disconnected.
         client_deadline: The event loop's time until which the client waits.
@@ -36,6 +36,7 @@
         attempts: All its attempts, in the order in which they were started.
         last_outcome: The outcome of the attempt that finished last.
         deadline_timer: Fires at the deadline.
+        is_abandoned: Whether the client left without its response.
     """
 
     __slots__ = (
@@ -45,6 +46,7 @@
         "response_sink",
         "deadline",
         "deadline_timer",
+        "is_abandoned",
         "last_outcome",
         "request",
         "request_class",
@@ -62,7 +64,7 @@
     ) -> None:
         self.request_id = request_id
         self.client_request_id = request.headers[b"x-request-id"]
-        self.request = request
+        self.request: ClientRequest | None = request
         self.request_class = request_class
         self.response_sink: ResponseSink | None = response_sink
         self.client_deadline = client_deadline
@@ -70,6 +72,7 @@
         self.attempts: list[UpstreamAttempt] = []
         self.last_outcome = Outcome.NOT_SENT
         self.deadline_timer: asyncio.TimerHandle | None = None
+        self.is_abandoned = False
 
     @property
     def logged_id(self) -> str:
@@ -88,6 +91,16 @@
             for attempt in self.attempts:
                 attempt.forbid_retry()
 
+    def release_request(self) -> None:
+        """Release the memory of the request: no attempt is written without a pending response."""
+        self.request = None
+
+    def must_not_repeat(self) -> bool:
+        """Return whether an attempt may have run, and another one could have a second effect."""
+        if self.request_class.idempotency is Idempotency.IDEMPOTENT:
+            return False
+        return any(attempt.may_have_run() for attempt in self.attempts)
+
     def client_is_waiting(self) -> bool:
         """Return whether a response is pending and the client is still connected."""
         return self.response_sink is not None and not self.response_sink.has_disconnected()
@@ -113,6 +126,7 @@
             timeout: Seconds until the proxy stops waiting for the backend's response, sent as `X-Timeout`.
         """
         request = self.request
+        assert request is not None, "an attempt was written although no response is pending"
         has_length = request.body or request.method != b"GET"
         length = b"Content-Length: %d\r\n" % len(request.body) if has_length else b""
         return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n%b" % (
--- a/proxy/dispatch_context.py
+++ b/proxy/dispatch_context.py
@@ -28,6 +28,7 @@
         poll_endpoints: Asks discovery for the endpoint list.
         monitor: Checks the attempts and responses that are written.
         event_log: Records the events of each request.
+        max_abandoned_ids: The largest number of ids of abandoned requests that are remembered.
     """
 
     balancer: Balancer
@@ -37,3 +38,4 @@
     poll_endpoints: Callable[[], None]
     monitor: InvariantMonitor
     event_log: EventLog
+    max_abandoned_ids: int
--- a/proxy/dispatcher.py
+++ b/proxy/dispatcher.py
@@ -50,7 +50,7 @@
     Attributes:
         active_requests: The requests with a pending response or with attempts in flight, by the id that the
             balancer has for them.
-        client_request_ids: The clients' ids of the requests with a pending response.
+        client_request_ids: The clients' ids of these requests.
         respond_by: The event loop's time by which requests that arrive from now on need their response, if
             their own deadline is not earlier; infinite unless the proxy is shutting down.
     """
@@ -61,7 +61,7 @@
         self._clock = context.clock
         self._event_log = context.event_log
         self._traceback_limit = RateLimit()
-        self._registry = RequestRegistry()
+        self._registry = RequestRegistry(context.max_abandoned_ids)
         self._responder = Responder(self._registry, context.monitor, context.event_log)
         self._executor = ActionExecutor(context, self._registry, self._responder, self)
         self.active_requests = self._registry.active_requests
@@ -84,7 +84,7 @@
         """Accept a client's request, and dispatch it.
 
         Raises:
-            HttpError: The response to a request with the same id is still pending.
+            HttpError: A request with the same id is open, or its client has left and it may have run.
         """
         client_deadline = request.received_at + classified.timeout
         deadline = min(client_deadline, self.respond_by) - RESPONSE_MARGIN
@@ -115,7 +115,7 @@
         """End a request whose client has disconnected: no response is pending any more."""
         if self._event_log.enabled:
             self._event_log.record(ClientDisconnected(id=active_request.logged_id))
-        self._registry.clear_response_sink(active_request)
+        self._registry.abandon(active_request)
         self._executor.perform(
             self._notify(
                 self._balancer.on_client_disconnected,
--- a/proxy/invariants.py
+++ b/proxy/invariants.py
@@ -14,7 +14,6 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Protocol
 
-from balancer.events import NOT_EXECUTED_OUTCOMES
 from balancer.settings import DeduplicationScope, Idempotency
 from proxy.log import RateLimit
 from proxy.logged_events import ViolationFound
@@ -109,7 +108,7 @@
         has_key = request_class.idempotency is Idempotency.KEYED
         deduplicated = has_key and request_class.deduplication_scope is DeduplicationScope.ALL
         safe_to_repeat = deduplicated or request_class.idempotency is Idempotency.IDEMPOTENT
-        if not safe_to_repeat and any(_may_have_run(attempt) for attempt in active_request.attempts):
+        if not safe_to_repeat and any(attempt.may_have_run() for attempt in active_request.attempts):
             self.report(Invariant.REJECTED_UNSAFELY, active_request.client_request_id)
 
     def report(self, invariant: Invariant, client_request_id: bytes) -> None:
@@ -128,13 +127,8 @@
 def _may_repeat(now: float, active_request: CheckedRequest, attempt: UpstreamAttempt) -> bool:
     """Return whether an attempt that was just written is allowed, although other attempts may have run."""
     request_class = active_request.request_class
-    others = [other for other in active_request.attempts if other is not attempt and _may_have_run(other)]
+    others = [other for other in active_request.attempts if other is not attempt and other.may_have_run()]
     if not others or request_class.idempotency is Idempotency.IDEMPOTENT:
         return True
     elapsed = now - min(other.written_at or 0.0 for other in others)
     return request_class.idempotency is Idempotency.KEYED and elapsed < request_class.deduplication_window
-
-
-def _may_have_run(attempt: UpstreamAttempt) -> bool:
-    """Return whether a backend may have processed an attempt, or may still do so."""
-    return attempt.written_at is not None and attempt.outcome not in NOT_EXECUTED_OUTCOMES
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -13,6 +13,7 @@
 from balancer.balancer import Balancer
 from balancer.endpoints import UpdateKind
 from balancer.settings import DiscoveryMode
+from proxy.abandoned_ids import max_abandoned_ids
 from proxy.clock import EpochClock
 from proxy.discovery.endpoint_reader import DiscoveredEndpoint, EndpointReader
 from proxy.discovery.watch import DiscoveryClient
@@ -103,17 +104,7 @@
         self.discovery = DiscoveryClient(
             config.discovery, self.reader, cached_list.index, self.on_update, self.event_log
         )
-        self.dispatcher = Dispatcher(
-            DispatchContext(
-                balancer=self.balancer,
-                clock=self.clock,
-                endpoint_table=self.endpoint_table,
-                pool=self.pool,
-                poll_endpoints=self.discovery.open,
-                monitor=self.monitor,
-                event_log=self.event_log,
-            )
-        )
+        self.dispatcher = Dispatcher(self._dispatch_context(config))
         self.listener = Listener(
             config, limits.clients, self.memory, self.dispatcher.on_request, self.monitor, self.event_log
         )
@@ -138,6 +129,18 @@
             )
         )
 
+    def _dispatch_context(self, config: Config) -> DispatchContext:
+        return DispatchContext(
+            balancer=self.balancer,
+            clock=self.clock,
+            endpoint_table=self.endpoint_table,
+            pool=self.pool,
+            poll_endpoints=self.discovery.open,
+            monitor=self.monitor,
+            event_log=self.event_log,
+            max_abandoned_ids=max_abandoned_ids(config.memory_limit),
+        )
+
     def _reload_targets(self) -> ReloadTargets:
         return ReloadTargets(
             reader=self.reader,
--- a/proxy/request_registry.py
+++ b/proxy/request_registry.py
@@ -1,6 +1,7 @@
 """The active requests of the proxy, and the request ids that clients use for them.
 
 It owns both sets. The dispatcher adds requests; the dispatcher and the responder report their end.
+`abandoned_ids` has the ids that must not run again after their request has ended.
 """
 
 from __future__ import annotations
@@ -8,6 +9,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from proxy.abandoned_ids import AbandonedIds
 from proxy.active_request import ActiveRequest
 from proxy.downstream.errors import HttpError
 
@@ -22,12 +24,18 @@
 
     Attributes:
         active_requests: These requests, by the balancer's ids for them.
-        client_request_ids: The clients' ids of the requests with a pending response.
+        client_request_ids: The clients' ids of these requests.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_abandoned_ids: int) -> None:
+        """Create an empty registry.
+
+        Args:
+            max_abandoned_ids: The largest number of ids that are remembered after their requests have ended.
+        """
         self.active_requests: dict[str, ActiveRequest] = {}
         self.client_request_ids: set[bytes] = set()
+        self._abandoned_ids = AbandonedIds(max_abandoned_ids)
         self._last_number = 0
 
     def open(
@@ -48,12 +56,14 @@
             deadline: The event loop's time by which the response has to be written.
 
         Raises:
-            HttpError: The response to a request with the same id is still pending.
+            HttpError: A request with the same id is open, or its client has left and it may have run.
         """
         client_request_id = request.headers[b"x-request-id"]
         if client_request_id in self.client_request_ids:
             # Backends would mistake a second request with the same id for the first one.
             raise HttpError(HTTPStatus.CONFLICT, "a request with this id is open")
+        if client_request_id in self._abandoned_ids:
+            raise HttpError(HTTPStatus.CONFLICT, "a request with this id may have run")
         self.client_request_ids.add(client_request_id)
         self._last_number += 1
         request_id = str(self._last_number)
@@ -63,11 +73,15 @@
         self.active_requests[request_id] = active_request
         return active_request
 
+    def abandon(self, active_request: ActiveRequest) -> None:
+        """Record that the client left without its response."""
+        active_request.is_abandoned = True
+        self.clear_response_sink(active_request)
+
     def clear_response_sink(self, active_request: ActiveRequest) -> None:
         """Record that no response is pending any more: it is being sent, or the client disconnected."""
-        if active_request.response_sink is not None:
-            self.client_request_ids.discard(active_request.client_request_id)
         active_request.response_sink = None
+        active_request.release_request()
         if active_request.deadline_timer is not None:
             active_request.deadline_timer.cancel()
         self.remove_if_finished(active_request)
@@ -75,6 +89,9 @@
     def remove_if_finished(self, active_request: ActiveRequest) -> None:
         """Remove a request if no response is pending and no attempt is in flight."""
         if active_request.is_finished():
-            self.active_requests.pop(active_request.request_id, None)
+            if self.active_requests.pop(active_request.request_id, None) is not None:
+                self.client_request_ids.discard(active_request.client_request_id)
+                if active_request.is_abandoned and active_request.must_not_repeat():
+                    self._abandoned_ids.add(active_request.client_request_id)
             # A request and its attempts refer to each other: only the garbage collector would free them.
             active_request.attempts.clear()
--- a/proxy/responder.py
+++ b/proxy/responder.py
@@ -62,6 +62,10 @@
                 self._event_log.record(
                     ResponseSent(id=active_request.logged_id, status=status, reason=reason)
                 )
+            # A response that can't reach its client is none.
+            active_request.is_abandoned = (
+                active_request.must_not_repeat() and response_sink.has_disconnected()
+            )
         self._registry.clear_response_sink(active_request)
         if response_sink is not None:
             response_sink.send_response(status, headers, body)
--- a/proxy/upstream/attempt.py
+++ b/proxy/upstream/attempt.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from balancer.events import Outcome, SendRejection
+from balancer.events import NOT_EXECUTED_OUTCOMES, Outcome, SendRejection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -151,6 +151,10 @@
             self.connection = None
         self.callbacks.on_finished(self, outcome, response)
 
+    def may_have_run(self) -> bool:
+        """Return whether a backend may have processed the request, or may still do so."""
+        return self.written_at is not None and self.outcome not in NOT_EXECUTED_OUTCOMES
+
     def forbid_retry(self) -> None:
         """Mark the request as not retryable; a response that has begun may then take until the deadline."""
         if self.retryable and not self.finished and self._timer is not None:
