--- a/tests/proxy/test_dispatcher.py
+++ b/tests/proxy/test_dispatcher.py
@@ -173,7 +173,7 @@
             assert status_of(await client.request(post_request(2))) == 200
             assert not proxy.dispatcher.active_requests
 
-    asyncio.run(run_requests())
+    in_event_loop(run_requests)()
     assert capfd.readouterr().err.count("RuntimeError: odd") == 1  # the log has a rate limit
 
 
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -31,6 +31,7 @@
     stub_discovery,
     with_timeout,
 )
+from tests.support.open_connections import close_at_end
 from tests.support.proxy_inputs import (
     HEALTH_REQUEST,
     HOST,
@@ -151,6 +152,7 @@
         await listener.stop_listening(listening_socket)
         for sock in queued:
             client = Client(*await asyncio.open_connection(sock=sock))
+            close_at_end(client.writer)
             assert status_of(await client.request(post_request())) == 200
 
 
--- a/tests/proxy/test_startup.py
+++ b/tests/proxy/test_startup.py
@@ -24,6 +24,7 @@
     stub_backend,
     stub_discovery,
 )
+from tests.support.open_connections import close_at_end
 from tests.support.proxy_inputs import (
     HEALTH_REQUEST,
     HOST,
@@ -54,6 +55,7 @@
     """Run a discovery service that accepts connections and never responds, and yield its port."""
 
     async def serve_silently(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        close_at_end(writer)
         await reader.read()
         writer.close()
 
--- a/tests/support/client_scenarios.py
+++ b/tests/support/client_scenarios.py
@@ -10,6 +10,7 @@
 
 from balancer.settings_reader import read_settings
 from tests.support.loopback import Client, RunningProxy, StubBackend, wait_until
+from tests.support.open_connections import close_socket_at_end
 from tests.support.proxy_inputs import HOST, RAW_SETTINGS, post_request
 
 if TYPE_CHECKING:
@@ -59,6 +60,7 @@
 
     def __init__(self, proxy: RunningProxy) -> None:
         self.sock = socket.create_connection((HOST, proxy.port))
+        close_socket_at_end(self.sock)
 
     def disconnect(self, kind: str) -> None:
         """Close the connection, close only its sending side, or reset it."""
@@ -88,6 +90,7 @@
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_BUFFER_BYTES)
     sock.setblocking(False)
+    close_socket_at_end(sock)
     await asyncio.get_running_loop().sock_connect(sock, (HOST, proxy.port))
     await wait_until(lambda: bool(proxy.listener.connections.open))
     [connection] = proxy.listener.connections.open
--- a/tests/support/faulty_discovery.py
+++ b/tests/support/faulty_discovery.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from testbed.http_messages import CHUNKED_HEAD, encode_chunk
+from tests.support.open_connections import close_at_end
 from tests.support.proxy_inputs import HOST, endpoint_entry
 
 if TYPE_CHECKING:
@@ -98,6 +99,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
+        close_at_end(writer)
         await reader.readuntil(b"\r\n\r\n")
         has_fault = self.watch_count < len(self._faults)
         fault = self._faults[self.watch_count] if has_fault else WatchFault(self._response)
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -22,6 +22,7 @@
 from balancer.endpoints import UpdateKind
 from proxy.proxy import Proxy
 from testbed.http_messages import CHUNKED_HEAD, encode_chunk, read_message
+from tests.support.open_connections import close_at_end, close_connections
 from tests.support.proxy_inputs import (
     HOST,
     MAX_WAIT,
@@ -53,9 +54,15 @@
 def in_event_loop(test: Callable[Parameters, Coroutine[Any, Any, None]]) -> Callable[Parameters, None]:
     """Turn a coroutine function into a test that runs in a new event loop."""
 
+    async def run_and_close(*args: Parameters.args, **kwargs: Parameters.kwargs) -> None:
+        try:
+            await test(*args, **kwargs)
+        finally:
+            await close_connections()
+
     @functools.wraps(test)
     def run_test(*args: Parameters.args, **kwargs: Parameters.kwargs) -> None:
-        asyncio.run(test(*args, **kwargs))
+        asyncio.run(run_and_close(*args, **kwargs))
 
     return run_test
 
@@ -141,6 +148,7 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
         self.writers.append(writer)
+        close_at_end(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -188,6 +196,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one watch: send the head of the response; `send_update` and `send_bytes` send its body."""
+        close_at_end(writer)
         request = await reader.readuntil(b"\r\n\r\n")
         writer.write(CHUNKED_HEAD)
         self.writer = writer
@@ -248,7 +257,9 @@
 
 async def connect(port: int) -> Client:
     """Open a client's connection to a proxy."""
-    return Client(*await asyncio.open_connection(HOST, port))
+    reader, writer = await asyncio.open_connection(HOST, port)
+    close_at_end(writer)
+    return Client(reader, writer)
 
 
 class ConnectGate:
--- a/tests/testbed/test_registry.py
+++ b/tests/testbed/test_registry.py
@@ -14,6 +14,7 @@
 from testbed.discovery.registry_endpoint import HEARTBEAT_INTERVAL
 from testbed.discovery.registry_state import StaleVersionError
 from tests.support.loopback import ManualClock, in_event_loop, with_timeout
+from tests.support.open_connections import close_at_end
 from tests.support.proxy_inputs import HOST
 from tests.support.small_fleet import ENDPOINT, FLEET, NAMES, changed_backend, running_registry
 
@@ -26,6 +27,7 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
+        close_at_end(writer)
 
     async def next_message(self) -> Any:
         """Return the message of the next chunk; None for a heartbeat."""
@@ -47,6 +49,7 @@
     async with running_registry() as registry:
         port = await registry.open_endpoint(ENDPOINT)
         reader, writer = await asyncio.open_connection(HOST, port)
+        close_at_end(writer)
         writer.write(b"GET /v1/servers HTTP/1.1\r\nHost: h\r\n\r\nGET /odd HTTP/1.1\r\nHost: h\r\n\r\n")
         head = await with_timeout(reader.readuntil(b"\r\n\r\n"))
         size = int(head.lower().partition(b"content-length:")[2].split()[0])
