Floods: requests before one get their responses; unsent requests count

A client that sent 64 MiB behind the end of its input was disconnected with its requests still waiting: with small requests at full speed on one connection, dropped_unanswered showed up to 5 of them in 4 s (a probe with a process of its own as the client). Now reading stops instead, and the requests that were kept get their responses, then the 400. The test failed before: the connection ended after the first response.

What is not sent of a request, because its backend does not read, counts against the memory for peers too; without it the copies of requests whose clients have left were counted by nothing where attempts may not be cancelled.

--- a/proxy/downstream/closing.py
+++ b/proxy/downstream/closing.py
@@ -40,8 +40,8 @@
     """Ends one client's connection without cutting off a response that is still in transit.
 
     Attributes:
-        reading_stopped: Whether reading has stopped, because the proxy is shutting down and a response is
-            pending.
+        reading_stopped: Whether reading has stopped while a response is pending, because the proxy is
+            shutting down, or because the client does not stop sending.
     """
 
     __slots__ = ("_context", "_socket", "_transport", "reading_stopped")
--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -130,7 +130,10 @@
         connection_input = self._input
         if connection_input.ended:
             if connection_input.discard(nbytes):
-                self.abort(CloseReason.FLOOD)
+                if self._state is CLOSING:
+                    self.abort(CloseReason.FLOOD)
+                else:  # the requests before the flood get their responses
+                    self.closer.stop_reading()
             return
         connection_input.feed(nbytes, self._loop.time())
         if connection_input.queue:
--- a/proxy/downstream/connection_input.py
+++ b/proxy/downstream/connection_input.py
@@ -20,7 +20,7 @@
 #: Requests that are parsed while another one is served; well-behaved clients send none before the response.
 MAX_PIPELINED_REQUESTS = 8
 MAX_UNPARSED_BYTES = 64 << 10  # bytes kept behind these requests
-MAX_DISCARDED_BYTES = 64 << 20  # bytes discarded after a rejection before the connection is aborted
+MAX_DISCARDED_BYTES = 64 << 20  # bytes discarded behind the end of the input; beyond them nothing is read
 
 
 class SharedMemory(Protocol):
--- a/proxy/upstream/connection.py
+++ b/proxy/upstream/connection.py
@@ -10,6 +10,7 @@
 import select
 from typing import TYPE_CHECKING, Protocol
 
+from proxy.memory_budget import MemoryAccount
 from proxy.upstream.response_parser import GUARANTEED_BYTES, ResponseParser, ResponseState
 
 if TYPE_CHECKING:
@@ -73,6 +74,7 @@
         #: The idle time in seconds before the last reuse; None: it was not reused.
         self._reused_after: float | None = None
         self._parser = ResponseParser(owner.response_memory)
+        self._unsent = MemoryAccount(owner.response_memory)  # a copy of what is not sent of the request
         self._input_poll = select.poll()  # reports whether the socket has unread input
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -112,13 +114,16 @@
         self._transport.write(request)
         # An empty write buffer means that the socket accepted all bytes, unless the write detected that the
         # connection is lost.
-        self.request_sent = not self._transport.get_write_buffer_size() and not self._transport.is_closing()
+        unsent_bytes = self._transport.get_write_buffer_size()
+        self._unsent.update(unsent_bytes)
+        self.request_sent = not unsent_bytes and not self._transport.is_closing()
 
     def pause_writing(self) -> None:
         """Transport callback: some bytes of the request are not sent yet."""
 
     def resume_writing(self) -> None:
         """Transport callback: all bytes of the request have been sent."""
+        self._unsent.update(0)
         self.request_sent = True
 
     def abort(self) -> None:
@@ -190,6 +195,7 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """Transport callback: the connection has ended."""
         self._owner.response_memory.stop_waiting(self._read_on)
+        self._unsent.update(0)
         self._parser.close()
         self._owner.on_closed(self)
         if self._attempt is not None:
--- a/tests/proxy/downstream/test_client_disconnect.py
+++ b/tests/proxy/downstream/test_client_disconnect.py
@@ -8,6 +8,7 @@
 
 from tests.support.client_scenarios import (
     CANCELLATION,
+    DISCONNECTIONS,
     TIERS,
     connect_slow_reader,
     disconnect,
@@ -168,6 +169,22 @@
         assert backend.received.empty()
 
 
+@pytest.mark.parametrize("kind", DISCONNECTIONS)
+@in_event_loop
+async def test_large_requests_behind_the_first_are_not_sent_after_their_client_left(kind: str) -> None:
+    body = b"x" * (60 << 10)
+    async with proxy_with_backends(stay_silent) as (proxy, [backend]):
+        client = await proxy.connect()
+        client.writer.write(b"".join(post_request(number, body=body) for number in range(20)))
+        await with_timeout(backend.received.get())
+        disconnect(client, kind)
+        await with_timeout(backend.disconnects.get())
+        backend.script = respond_ok
+        await wait_until(lambda: not proxy.listener.connections.open and not proxy.dispatcher.active_requests)
+        assert backend.received.empty()
+        assert proxy.listener.buffered_bytes == 0
+
+
 @in_event_loop
 async def test_half_close_with_unread_responses_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
     response = b"HTTP/1.1 200 OK\r\nContent-Length: 16384\r\n\r\n" + b"x" * 16384
--- a/tests/proxy/downstream/test_requests.py
+++ b/tests/proxy/downstream/test_requests.py
@@ -127,6 +127,26 @@
         assert proxy.proxy.monitor.summary() == ""
 
 
+@in_event_loop
+async def test_requests_before_an_endless_flood_get_their_responses(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("proxy.downstream.connection_input.MAX_DISCARDED_BYTES", 100_000)
+    async with proxy_with_backends(stay_silent) as (proxy, [backend]):
+        client = await proxy.connect()
+        client.writer.write(get_request(0))
+        await with_timeout(backend.received.get())
+        client.writer.write(b"".join(get_request(number) for number in range(1, 100)) + b"x" * 300_000)
+        [connection] = proxy.listener.connections.open
+        await wait_until(lambda: connection.closer.reading_stopped)
+        backend.script = respond_ok
+        backend.writers[0].write(OK_RESPONSE)
+        statuses = [status_of(await client.response()) for _ in range(101)]
+        assert statuses == [200] * 100 + [400]
+        assert backend.received.qsize() == 99
+        assert proxy.proxy.monitor.summary() == ""
+        client.writer.close()
+        await wait_until(lambda: not proxy.listener.connections.open)
+
+
 @in_event_loop
 async def test_request_with_an_id_in_use_is_not_forwarded() -> None:
     async with proxy_with_backends(stay_silent) as (proxy, [backend]):
--- a/tests/proxy/upstream/test_responses.py
+++ b/tests/proxy/upstream/test_responses.py
@@ -7,16 +7,41 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
 
 import pytest
 
+from balancer.events import Outcome
 from proxy.upstream.attempt import MAX_RESPONSE_STALL
-from tests.support.client_scenarios import reset_on_close
-from tests.support.loopback import in_event_loop, proxy_with_backends, stay_silent, wait_until, with_timeout
+from proxy.upstream.connection import UpstreamConnection
+from tests.support.client_scenarios import disconnect, disconnect_settings, reset_on_close
+from tests.support.loopback import (
+    in_event_loop,
+    proxy_with_backends,
+    running_proxy,
+    stay_silent,
+    wait_until,
+    with_timeout,
+)
 from tests.support.pool_scenario import respond_to_first_request, settings_with
-from tests.support.proxy_inputs import OK_RESPONSE, RAW_SETTINGS, get_request, post_request, status_of
+from tests.support.proxy_inputs import (
+    HOST,
+    OK_RESPONSE,
+    RAW_SETTINGS,
+    endpoint_entry,
+    get_request,
+    post_request,
+    status_of,
+)
 from tests.support.proxy_internals import is_receiving_response
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from proxy.active_request import ActiveRequest
+
 
 @in_event_loop
 async def test_unsolicited_response_closes_its_connection() -> None:
@@ -55,6 +80,21 @@
         assert proxy.pool.response_memory.reserved == 0
 
 
+def is_sent(request: ActiveRequest) -> bool:
+    """Return whether the first attempt of a request is being written to its backend."""
+    return bool(request.attempts) and request.attempts[0].written_at is not None
+
+
+@asynccontextmanager
+async def not_reading_backend() -> AsyncIterator[str]:
+    """Run a backend that accepts connections and reads nothing, and yield its address."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind((HOST, 0))
+        sock.listen()
+        yield f"{HOST}:{sock.getsockname()[1]}"
+
+
 @in_event_loop
 async def test_large_incomplete_responses_do_not_fill_the_memory() -> None:
     incomplete_response = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + b"x" * 900000
@@ -148,3 +188,26 @@
         reset_on_close(writer.get_extra_info("socket"))
         writer.transport.abort()
         assert status_of(await client.response()) == 502
+
+
+@in_event_loop
+async def test_unsent_part_of_a_request_counts_against_the_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    connection_made = UpstreamConnection.connection_made
+
+    def made_with_small_send_buffer(connection: UpstreamConnection, transport: asyncio.BaseTransport) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        connection_made(connection, transport)
+
+    monkeypatch.setattr(UpstreamConnection, "connection_made", made_with_small_send_buffer)
+    settings = disconnect_settings("first", "no cancels")
+    async with not_reading_backend() as address:
+        async with running_proxy([endpoint_entry("a", address)], settings=settings) as proxy:
+            client = await proxy.connect()
+            client.writer.write(post_request(body=b"x" * (64 << 10)))
+            await wait_until(lambda: any(is_sent(each) for each in proxy.dispatcher.active_requests.values()))
+            disconnect(client, "close")  # its attempt goes on
+            await wait_until(lambda: not proxy.listener.connections.open)
+            assert proxy.listener.buffered_bytes > 32 << 10
+            [active] = proxy.dispatcher.active_requests.values()
+            active.attempts[0].finish(Outcome.TIMEOUT)
+            await wait_until(lambda: proxy.listener.buffered_bytes == 0)
