Request ids: clients that leave without reading the response; soak scenarios

A close with unread bytes resets the connection. UnconfirmedResponses remembers the latest response on each connection, and treats its id as abandoned when the connection is reset, also where the reset is still unread. Two tests failed before (noticed, and in the turn of the next request), and one holds that ids of responses that were read are forgotten.

The run's clients now repeat only without any response.

The scenario crowds sends 300 slow clients at once to proxies with 32 MB, with restarts, drains and pauses; the rule memory_exceeded compares the peak with the limit.

--- a/proxy/downstream/client_socket.py
+++ b/proxy/downstream/client_socket.py
@@ -11,8 +11,9 @@
 if TYPE_CHECKING:
     import asyncio
 
+RESET_EVENTS = select.POLLHUP | select.POLLERR  # of a socket whose peer has reset the connection
 #: The events of a socket whose peer has closed it, has closed its sending side, or has reset the connection.
-DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+DISCONNECT_EVENTS = select.POLLRDHUP | RESET_EVENTS
 
 
 class ClientSocket:
@@ -34,6 +35,13 @@
         """
         return self._transport.is_closing() or bool(self._events() & DISCONNECT_EVENTS)
 
+    def was_reset(self) -> bool:
+        """Return whether the client has reset its connection, even if that has not been read yet.
+
+        It must not be called after the end of the connection: another socket may then have its descriptor.
+        """
+        return bool(self._events() & RESET_EVENTS)
+
     def has_unread_input(self) -> bool:
         """Return whether the client has sent bytes that have not been read."""
         return not self._transport.is_closing() and bool(self._events() & select.POLLIN)
--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -34,6 +34,7 @@
     from collections.abc import Callable
 
     from proxy.downstream.client_memory import ClientMemory
+    from proxy.response_sink import ClosedCallback
 
 
 class ConnectionOwner(ClosingContext, RequestHandler["DownstreamConnection"], Protocol):
@@ -59,6 +60,8 @@
     Attributes:
         on_disconnect: Called once if the client disconnects before its response is sent. The dispatcher sets
             it; sending the response clears it.
+        on_closed: Called once when the connection has ended, with whether the client reset it.
+        client_socket: Polls the client's socket.
         idle_timeout: Seconds without a request after which the connection is closed; longer once a request
             has been forwarded.
         writer: Writes the responses.
@@ -67,6 +70,7 @@
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_closed: ClosedCallback | None = None
         self.idle_timeout = timeouts.MIN_IDLE_TIMEOUT
         self._owner = owner
         self._registry = owner.connections
@@ -82,9 +86,9 @@
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._socket = ClientSocket(transport)
+        self.client_socket = ClientSocket(transport)
         self.writer = ResponseWriter(transport, self._memory.budget)
-        self.closer = ConnectionCloser(transport, self._socket, self._owner)
+        self.closer = ConnectionCloser(transport, self.client_socket, self._owner)
         now = self._owner.last_accepted_at = self._loop.time()
         self._registry.open.add(self)
         self._enter(NEW, now + timeouts.FIRST_REQUEST_TIMEOUT)
@@ -100,12 +104,14 @@
         self._input.drop()
         self._report_disconnect()
 
-    def connection_lost(self, _exc: Exception | None) -> None:
+    def connection_lost(self, exc: Exception | None) -> None:
         """Release the connection's resources."""
         self._enter(CLOSED)
         self._input.close()
         self.update_unwritten()
         self._report_disconnect()
+        if self.on_closed is not None:
+            self.on_closed(was_reset=exc is not None)
 
     def pause_writing(self) -> None:
         """Stop serving requests: the client reads more slowly than responses are written."""
@@ -166,7 +172,7 @@
 
     def has_disconnected(self) -> bool:
         """Return whether the client has closed its connection, even if the close has not been read yet."""
-        return self._socket.has_disconnected()
+        return self.client_socket.has_disconnected()
 
     def held_bytes(self) -> int:
         """Return the bytes that the connection holds for its client."""
--- a/proxy/request_registry.py
+++ b/proxy/request_registry.py
@@ -12,6 +12,7 @@
 from proxy.abandoned_ids import AbandonedIds
 from proxy.active_request import ActiveRequest
 from proxy.downstream.errors import HttpError
+from proxy.unconfirmed_responses import UnconfirmedResponses
 
 if TYPE_CHECKING:
     from proxy.downstream.classification import ClassifiedRequest
@@ -25,6 +26,7 @@
     Attributes:
         active_requests: These requests, by the balancer's ids for them.
         client_request_ids: The clients' ids of these requests.
+        unconfirmed_responses: The responses that clients may not have read.
     """
 
     def __init__(self, max_abandoned_ids: int) -> None:
@@ -36,6 +38,7 @@
         self.active_requests: dict[str, ActiveRequest] = {}
         self.client_request_ids: set[bytes] = set()
         self._abandoned_ids = AbandonedIds(max_abandoned_ids)
+        self.unconfirmed_responses = UnconfirmedResponses(self._abandoned_ids)
         self._last_number = 0
 
     def open(
@@ -59,11 +62,8 @@
             HttpError: A request with the same id is open, or its client has left and it may have run.
         """
         client_request_id = request.headers[b"x-request-id"]
-        if client_request_id in self.client_request_ids:
-            # Backends would mistake a second request with the same id for the first one.
-            raise HttpError(HTTPStatus.CONFLICT, "a request with this id is open")
-        if client_request_id in self._abandoned_ids:
-            raise HttpError(HTTPStatus.CONFLICT, "a request with this id may have run")
+        self.unconfirmed_responses.confirm(response_sink)
+        self._check_id(client_request_id)
         self.client_request_ids.add(client_request_id)
         self._last_number += 1
         request_id = str(self._last_number)
@@ -73,6 +73,15 @@
         self.active_requests[request_id] = active_request
         return active_request
 
+    def _check_id(self, client_request_id: bytes) -> None:
+        """Raise HttpError if a request with this id must not be accepted."""
+        self.unconfirmed_responses.check(client_request_id)
+        if client_request_id in self.client_request_ids:
+            # Backends would mistake a second request with the same id for the first one.
+            raise HttpError(HTTPStatus.CONFLICT, "a request with this id is open")
+        if client_request_id in self._abandoned_ids:
+            raise HttpError(HTTPStatus.CONFLICT, "a request with this id may have run")
+
     def abandon(self, active_request: ActiveRequest) -> None:
         """Record that the client left without its response."""
         active_request.is_abandoned = True
--- a/proxy/responder.py
+++ b/proxy/responder.py
@@ -17,6 +17,7 @@
     from proxy.event_log import EventLog
     from proxy.invariants import InvariantMonitor
     from proxy.request_registry import RequestRegistry
+    from proxy.response_sink import ResponseSink
 
 
 # Bodies of the responses that the proxy generates itself.
@@ -62,14 +63,21 @@
                 self._event_log.record(
                     ResponseSent(id=active_request.logged_id, status=status, reason=reason)
                 )
-            # A response that can't reach its client is none.
-            active_request.is_abandoned = (
-                active_request.must_not_repeat() and response_sink.has_disconnected()
-            )
+            self._watch_delivery(active_request, response_sink)
         self._registry.clear_response_sink(active_request)
         if response_sink is not None:
             response_sink.send_response(status, headers, body)
 
+    def _watch_delivery(self, active_request: ActiveRequest, response_sink: ResponseSink) -> None:
+        """Prepare for a client that leaves before it has read its response, and sends the same id again."""
+        if not active_request.must_not_repeat():
+            return
+        if response_sink.has_disconnected():
+            active_request.is_abandoned = True
+        else:
+            unconfirmed_responses = self._registry.unconfirmed_responses
+            unconfirmed_responses.add(response_sink, active_request.client_request_id)
+
     def reject(self, active_request: ActiveRequest, action: Reject) -> None:
         """Respond that the request was rejected, so that the client may safely repeat it."""
         headers = b"Retry-After: %.3f\r\n" % action.retry_after if action.retry_after > 0.0 else b""
--- a/soak/client_connection.py
+++ b/soak/client_connection.py
@@ -36,11 +36,13 @@
         reader: Reads from the connection.
         writer: Writes to the connection.
         has_served: Whether it has carried a complete response.
+        response_began: Whether the head of the latest response was read.
     """
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
         self.has_served = False
+        self.response_began = False
 
     @property
     def is_open(self) -> bool:
@@ -65,6 +67,14 @@
         self.writer.write(data)
         await self.writer.drain()
 
+    async def has_received(self) -> bool:
+        """Return whether any byte of the latest response has come; nothing can be read afterwards."""
+        try:
+            async with asyncio.timeout(0.0):
+                return self.response_began or bool(await self.reader.read(1))
+        except OSError:  # includes TimeoutError
+            return False
+
     async def read_response(self, *, slowly: bool) -> Response:
         """Read the next response.
 
@@ -75,7 +85,9 @@
             OSError: The connection was reset.
             asyncio.IncompleteReadError: The connection was closed before the response was complete.
         """
+        self.response_began = False
         head = await self.reader.readuntil(END_OF_HEAD)
+        self.response_began = True
         headers = read_headers(head)
         remaining = content_length(headers)
         body = b""
--- a/soak/client_mix.py
+++ b/soak/client_mix.py
@@ -20,6 +20,8 @@
         max_pipelined: The largest number of requests in a pipeline.
         close_probability: Probability that the client asks for its connection to be closed after the
             response.
+        repeat_probability: Probability that a client which disconnected sends its request again, with the
+            same id and to the same process.
         stall_probability: Probability that the client sends an incomplete request and then nothing more.
     """
 
@@ -31,4 +33,5 @@
     pipeline_probability: float = 0.03
     max_pipelined: int = 4
     close_probability: float = 0.03
+    repeat_probability: float = 0.0
     stall_probability: float = 0.004
--- a/soak/client_requests.py
+++ b/soak/client_requests.py
@@ -16,7 +16,7 @@
     from soak.client_connection import ClientConnection, Response
     from soak.client_mix import ClientMix
     from soak.client_pool import ClientConnectionPool
-    from soak.history import History
+    from soak.history import History, ProxyIncarnation
     from soak.proxy_fleet import ProxyFleet
 
 #: Seconds after its timeout for which a client waits for a response, so that a late one can be recorded.
@@ -84,6 +84,8 @@
         disconnects_after = self._draw_disconnect(request)
         if await self.receive(connection, request, slowly=slow_reader, disconnects_after=disconnects_after):
             self.connections.release(connection, request.proxy)
+        if may_retry and request.outcome is RequestOutcome.DISCONNECTED:
+            await self._repeat(request, incarnation)
         was_closed = request.outcome is RequestOutcome.CONNECTION_CLOSED and connection.has_served
         if may_retry and was_closed and not was_killed(incarnation):
             await self._retry(request)
@@ -94,6 +96,12 @@
             return None
         return self.rng.uniform(0.0, request.timeout) * self.rng.random()
 
+    async def _repeat(self, request: Request, incarnation: ProxyIncarnation | None) -> None:
+        """Send a request again whose client left without any response, if the same process still runs."""
+        comes_back = self.rng.random() < self.mix.repeat_probability
+        if comes_back and not request.response_began and not was_killed(incarnation):
+            await self.perform(self._create_retry(request, request.proxy), may_retry=False)
+
     async def _retry(self, request: Request) -> None:
         proxy = self._fleet.pick(self.rng)
         if proxy is not None:
@@ -144,6 +152,7 @@
                 response = await connection.read_response(slowly=slowly)
         except TimeoutError:
             outcome = RequestOutcome.DISCONNECTED if wait < timeout else RequestOutcome.TIMED_OUT
+            request.response_began = await connection.has_received()
             self._stop_waiting(connection, request, outcome)
             return False
         except (OSError, asyncio.IncompleteReadError):
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -10,11 +10,13 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from soak.client_crowd import ClientCrowd
 from soak.client_pipeline import perform_pipeline
 from soak.client_pool import ClientConnectionPool
 from soak.client_requests import RequestExchange
-from soak.history import NEVER, Request, RetrySafety, StalledClient
+from soak.history import Request, RetrySafety, StalledClient
 from soak.request_encoding import encode_request
+from soak.stalled_connection import wait_for_response_or_close
 from testbed.loopback import HOST
 
 if TYPE_CHECKING:
@@ -24,8 +26,6 @@
     from soak.history import History
     from soak.proxy_fleet import ProxyFleet
 
-STALLED_CLIENT_TIMEOUT = 6.0  # seconds for which a stalled client waits for an error or a close
-
 
 class Clients:
     """All clients of a run."""
@@ -65,6 +65,10 @@
         for writer in writers:
             writer.close()
 
+    async def send_crowd(self, proxy: int, rng: random.Random) -> None:
+        """Send a crowd of slow clients to a proxy, and wait until the proxy has ended their connections."""
+        await ClientCrowd(proxy, self._fleet[proxy].port, self._history, rng).run()
+
     def _spawn(self, action: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(action)
         self._tasks.add(task)
@@ -96,18 +100,6 @@
         except OSError:
             return
         stopped_at = time.monotonic()
-        ended_at = await _wait_for_response_or_close(reader)
+        ended_at = await wait_for_response_or_close(reader)
         writer.close()
         self._history.stalled_clients.append(StalledClient(proxy, stopped_at, ended_at))
-
-
-async def _wait_for_response_or_close(reader: asyncio.StreamReader) -> float:
-    """Return the time when a byte was received or the connection ended; `NEVER` after a timeout."""
-    try:
-        async with asyncio.timeout(STALLED_CLIENT_TIMEOUT):
-            await reader.read(1)
-    except TimeoutError:
-        return NEVER
-    except OSError:
-        pass
-    return time.monotonic()
--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -54,6 +54,7 @@
             FaultKind.RESET_WATCHES: discovery.reset_watches,
             FaultKind.SILENCE: discovery.silence,
             FaultKind.TERMINATE: proxies.terminate,
+            FaultKind.CROWD: proxies.send_crowd,
         }
 
     async def run(self, until: float) -> None:
--- a/soak/history.py
+++ b/soak/history.py
@@ -60,6 +60,7 @@
         ended_at: When its response was complete, its connection ended or its client disconnected.
         outcome: How it ended.
         status: The status of the response; 0 without a response.
+        response_began: Whether its client had a part of the response when it disconnected.
         body_is_genuine: Whether the body of a 200 is one that a backend produced for this id.
     """
 
@@ -75,6 +76,7 @@
     ended_at: float = 0.0
     outcome: RequestOutcome = RequestOutcome.UNSENT
     status: int = 0
+    response_began: bool = False
     body_is_genuine: bool = True
 
 
@@ -143,7 +145,8 @@
         exit_code: The exit code; None while the process runs.
         paused: The time spans between SIGSTOP and SIGCONT.
         log: The first lines that the process wrote to standard error.
-        resident: Resident memory in bytes immediately before the process was stopped.
+        memory_limit: The memory in bytes that the process may use.
+        peak_resident: The largest resident memory in bytes until the process was stopped.
     """
 
     proxy: int
@@ -155,7 +158,8 @@
     exit_code: int | None = None
     paused: list[TimeSpan] = field(default_factory=list)
     log: list[str] = field(default_factory=list)
-    resident: int = 0
+    memory_limit: int = 0
+    peak_resident: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/soak/managed_proxy.py
+++ b/soak/managed_proxy.py
@@ -13,13 +13,11 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
-import psutil
-
 from soak.history import History, ProxyIncarnation, TimeSpan
 from testbed.deploy_file import run_command
 from testbed.health_check import is_healthy
-from testbed.meter import process_usage
 from testbed.paths import PROJECT_ROOT
+from testbed.process_memory import peak_resident_bytes
 from testbed.processes import inherited_environment, survives_hangup
 
 if TYPE_CHECKING:
@@ -38,6 +36,7 @@
 #: Distance between the fault seeds of two runs, so that each start within a run has a seed of its own.
 START_SEED_STRIDE = 1000
 INVALID_CONFIGURATION = b'{"name": '
+MB = 1 << 20  # bytes
 EVENT_LOG_VARIABLE = "RELAY_EVENT_LOG"
 
 
@@ -109,7 +108,10 @@
         """Start a process, and wait until it is ready, it has exited or `START_TIMEOUT` has passed."""
         self.write_config()
         environment = self._environment(next(self._options.start_numbers))
-        self.incarnation = incarnation = ProxyIncarnation(self._number, time.monotonic())
+        memory_limit = self._config.memory_mb * MB
+        self.incarnation = incarnation = ProxyIncarnation(
+            self._number, time.monotonic(), memory_limit=memory_limit
+        )
         self._options.history.incarnations.append(incarnation)
         self._process = process = await asyncio.create_subprocess_shell(
             run_command(SHIM), cwd=PROJECT_ROOT, env=environment, stderr=asyncio.subprocess.PIPE
@@ -188,8 +190,8 @@
 
     def _record_memory(self, process: Process, incarnation: ProxyIncarnation) -> None:
         if process.returncode is None:
-            with suppress(psutil.Error):
-                incarnation.resident = process_usage(process.pid).memory
+            with suppress(OSError):
+                incarnation.peak_resident = peak_resident_bytes(process.pid)
 
     def reap(self) -> None:
         """Record the end of a process that has exited without a signal of the run."""
--- a/soak/process_checks.py
+++ b/soak/process_checks.py
@@ -30,6 +30,9 @@
         log = incarnation.log[-LAST_LOG_LINES:]
         detail = f"proxy {incarnation.proxy} ended with {incarnation.exit_code}: {log}"
         yield Violation(Rule.UNEXPECTED_EXIT, incarnation.ended_at, detail)
+    if incarnation.peak_resident > incarnation.memory_limit:
+        detail = f"proxy {incarnation.proxy}: {incarnation.peak_resident} of {incarnation.memory_limit} bytes"
+        yield Violation(Rule.MEMORY_EXCEEDED, incarnation.started_at, detail)
     for position, line in enumerate(incarnation.log):
         if any(mark in line for mark in ERROR_MARKS):
             shown = " / ".join(incarnation.log[position : position + MAX_SHOWN_LINES])
--- a/soak/run.py
+++ b/soak/run.py
@@ -68,7 +68,7 @@
         outcomes: The number of requests by outcome and status.
         faults: The number of injected faults by kind.
         max_scheduling_delay: The longest scheduling delay of the soak test's own processes in seconds.
-        max_resident: The largest resident memory of a proxy before it was stopped, in bytes.
+        max_resident: The largest resident memory of a proxy, in bytes.
     """
 
     violations: list[Violation]
@@ -127,7 +127,18 @@
     for number, port in enumerate(proxy_ports):
         seed = f"{rng.getrandbits(SEED_BITS):0{SEED_BITS // 4}x}"
         known, settings = endpoints.snapshot(), proxy_settings(count, number)
-        proxies.add(ProxyConfig(f"p{number}", port, discovery[number][0], seed, known, settings, version="0"))
+        proxies.add(
+            ProxyConfig(
+                f"p{number}",
+                port,
+                discovery[number][0],
+                seed,
+                known,
+                settings,
+                version="0",
+                memory_mb=scenario.memory_mb,
+            )
+        )
     clients = Clients(proxies, history, scenario.clients, options.seed + 1)
     return TestEnvironment(proxies, backends, endpoints, clients, discovery)
 
@@ -142,5 +153,5 @@
         outcomes,
         injector.counts,
         max((delay.seconds for delay in history.scheduling_delays), default=0.0),
-        max((incarnation.resident for incarnation in history.incarnations), default=0),
+        max((incarnation.peak_resident for incarnation in history.incarnations), default=0),
     )
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -8,6 +8,7 @@
 from soak.client_mix import ClientMix
 from soak.fault_kinds import ALL_FAULTS, FaultKind
 from soak.system_call_faults import SystemCallFaults
+from testbed.proxy_config import DEFAULT_MEMORY_MB
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,6 +21,7 @@
         clients: The behaviour of the clients.
         backends: The behaviour of the backends.
         faults: The kinds of faults that are injected.
+        memory_mb: The limit on the memory of each proxy in MB.
     """
 
     help: str
@@ -27,3 +29,4 @@
     clients: ClientMix = field(default_factory=ClientMix)
     backends: BackendBehaviour = field(default_factory=BackendBehaviour)
     faults: tuple[FaultKind, ...] = ALL_FAULTS
+    memory_mb: int = DEFAULT_MEMORY_MB
--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -41,6 +41,16 @@
     "accepts": Scenario(
         "Accepting a connection fails occasionally.", system_calls=SystemCallFaults(accept=0.05)
     ),
+    "crowds": Scenario(
+        "Crowds of slow clients, and proxies with the least memory.",
+        faults=(FaultKind.DRAIN, FaultKind.PAUSE, FaultKind.TERMINATE, FaultKind.CROWD),
+        memory_mb=32,
+    ),
+    "repeats": Scenario(
+        "Clients disconnect and send the same id again; proxies are not restarted.",
+        clients=ClientMix(disconnect_probability=0.3, repeat_probability=0.5),
+        faults=(FaultKind.DRAIN, FaultKind.HANG, FaultKind.PAUSE, FaultKind.RELOAD),
+    ),
     "clock": Scenario(
         "The wall clock steps by an hour.",
         system_calls=SystemCallFaults(clock_step=ONE_HOUR, clock_step_after=3.0),
--- a/soak/violations.py
+++ b/soak/violations.py
@@ -18,6 +18,7 @@
     SENT_AFTER_DISCONNECT = "sent_after_disconnect"
     TIMEOUT_TOO_LONG = "timeout_too_long"
     UNEXPECTED_EXIT = "unexpected_exit"
+    MEMORY_EXCEEDED = "memory_exceeded"
     NOT_READY = "not_ready"
     STALLED_CLIENT_NOT_CLOSED = "stalled_client_not_closed"
     ERROR_LOGGED = "error_logged"
--- a/testbed/proxy_config.py
+++ b/testbed/proxy_config.py
@@ -15,7 +15,8 @@
 
     from testbed.discovery.entry import EndpointUpdate
 
-LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}  # the `limits` object of every file
+DEFAULT_MEMORY_MB = 192
+SOCKETS = 1024
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,6 +31,7 @@
         known: The endpoint list that it starts with.
         settings: The `settings` object of the file.
         version: The version label of the file; None for no label.
+        memory_mb: The limit on the proxy's memory in MB.
     """
 
     name: str
@@ -39,6 +41,7 @@
     known: EndpointUpdate
     settings: Mapping[str, object]
     version: str | None = None
+    memory_mb: int = DEFAULT_MEMORY_MB
 
     def write(self, path: Path) -> None:
         """Write the file atomically: a reader sees either the old file or the new one."""
@@ -52,7 +55,7 @@
             "listen": f"{HOST}:{self.port}",
             "discovery": f"{HOST}:{self.discovery_port}",
             "seed": self.seed,
-            "limits": LIMITS,
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": SOCKETS},
             "known": self.known,
             **({"version": self.version} if self.version else {}),
             "settings": self.settings,
--- a/tests/proxy/test_repeated_ids.py
+++ b/tests/proxy/test_repeated_ids.py
@@ -71,6 +71,35 @@
         assert await status_of_request(proxy, post_request(1)) == 409
 
 
+@pytest.mark.parametrize("is_noticed", [True, False], ids=["noticed", "in the same turn"])
+@in_event_loop
+async def test_id_whose_client_left_without_reading_its_response_does_not_run_again(
+    *, is_noticed: bool
+) -> None:
+    async with proxy_with_backends(respond_ok) as (proxy, [backend]):
+        other, client = await proxy.connect(), RawClient(proxy)
+        client.sock.sendall(post_request(1))
+        await with_timeout(backend.received.get())
+        await wait_until(lambda: has_no_requests(proxy))
+        client.sock.close()  # with the response unread: this resets the connection
+        if is_noticed:
+            await wait_until(lambda: len(proxy.listener.connections.open) == 1)
+        assert status_of(await other.request(post_request(1))) == 409
+        assert backend.received.empty()
+
+
+@in_event_loop
+async def test_id_whose_client_read_its_response_is_forgotten() -> None:
+    async with proxy_with_backends(respond_ok) as (proxy, [backend]):
+        for _ in range(2):
+            client = await proxy.connect()
+            for _ in range(3):
+                assert status_of(await client.request(post_request(1))) == 200
+            disconnect(client, "close")
+            await wait_until(lambda: not proxy.listener.connections.open)
+        assert backend.received.qsize() == 6
+
+
 @in_event_loop
 async def test_idempotent_request_may_run_again_once_no_attempt_is_open() -> None:
     settings = disconnect_settings("first", "no cancels")
--- a/tests/soak/test_history_checker.py
+++ b/tests/soak/test_history_checker.py
@@ -209,6 +209,11 @@
         lambda: history(incarnations=[incarnation(terminated_at=119.0, ended_at=120.0, exit_code=1)]),
         lambda: history(incarnations=[incarnation(killed_at=119.0, ended_at=120.0, exit_code=-9)]),
     ),
+    "memory": (
+        Rule.MEMORY_EXCEEDED,
+        lambda: history(incarnations=[incarnation(memory_limit=32 << 20, peak_resident=(32 << 20) + 1)]),
+        lambda: history(incarnations=[incarnation(memory_limit=32 << 20, peak_resident=32 << 20)]),
+    ),
     "not ready": (
         Rule.NOT_READY,
         lambda: history(incarnations=[incarnation(ready_at=61.0), incarnation(ready_at=NEVER)]),
--- a/tests/support/client_crowd.py
+++ b/tests/support/client_crowd.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from testbed.process_memory import peak_resident_bytes
 from tests.support.loopback import connect, free_port, stub_backend, with_timeout
-from tests.support.process_memory import peak_resident_bytes
 from tests.support.proxy_inputs import (
     HOST,
     NO_DISCOVERY_PORT,
