--- a/proxy/downstream/client_memory.py
+++ b/proxy/downstream/client_memory.py
@@ -1,8 +1,8 @@
-"""Divides the memory that is held for clients fairly between their connections.
+"""Divides the memory for clients' requests and responses fairly between their connections.
 
-A connection may always hold its fair share, so that small requests are served whatever other clients do.
+A connection may always use its fair share, so that other clients can't stop small requests from being served.
 Beyond it, connections use what is left of the budget. When the budget is used up, memory is taken back from
-the clients that keep it longest without need: first from requests that are read slowly, then from responses
+the clients that use it longest without need: first from requests that are read slowly, then from responses
 that are not being read. This module owns the buffer that all connections read into.
 """
 
@@ -35,14 +35,14 @@
 MAX_SEARCH_RATE = 100.0  # searches for slow clients per second: each one examines many connections
 
 
-class MemoryHolder(EvictableConnection, Protocol):
-    """A connection that holds memory."""
+class BufferingConnection(EvictableConnection, Protocol):
+    """A connection with buffers."""
 
-    def held_bytes(self) -> int:
-        """Return the bytes that the connection holds for its client."""
+    def buffered_bytes(self) -> int:
+        """Return the bytes that the connection buffers for its client."""
 
 
-ConnectionT = TypeVar("ConnectionT", bound=MemoryHolder)
+ConnectionT = TypeVar("ConnectionT", bound=BufferingConnection)
 
 
 class ClientMemory(Generic[ConnectionT]):
@@ -51,7 +51,7 @@
     Attributes:
         read_buffer: The buffer that every connection reads into; its content is valid during one callback.
         budget: The limit that clients share with backends.
-        fair_share: The bytes that a connection may hold even if the budget is used up.
+        fair_share: The bytes that a connection may buffer even if the budget is used up.
     """
 
     def __init__(self, budget: MemoryBudget, connections: ConnectionRegistry[ConnectionT]) -> None:
@@ -75,9 +75,9 @@
         free = self.budget.limit - self.budget.reserved
         return self.read_buffer[: max(MIN_READ_BYTES, free)]
 
-    def allows(self, held: int) -> bool:
-        """Return whether a connection may hold so many bytes, which are counted already."""
-        if held <= self.fair_share or self.budget.missing() <= 0:
+    def allows(self, buffered: int) -> bool:
+        """Return whether a connection may buffer a number of bytes, which are counted already."""
+        if buffered <= self.fair_share or self.budget.missing() <= 0:
             return True
         if (now := self._loop.time()) >= self._search_at:
             self._search_at = now + 1.0 / MAX_SEARCH_RATE
@@ -86,7 +86,7 @@
         return self.budget.missing() <= 0
 
     def make_room_for_response(self, connection: ConnectionT) -> None:
-        """Disconnect slow clients until the budget is kept.
+        """Disconnect slow clients until the budget is not exceeded.
 
         Args:
             connection: The connection whose response has just been written; it is not disconnected.
@@ -106,7 +106,7 @@
         for connection, deadline in tuple(self._connections.reading.items()):
             if self.budget.missing(size) <= 0:
                 return
-            if deadline <= began_before and connection.held_bytes() > self.fair_share:
+            if deadline <= began_before and connection.buffered_bytes() > self.fair_share:
                 self._count_disconnected()
                 connection.reject(HttpError(HTTPStatus.SERVICE_UNAVAILABLE, "the request came too slowly"))
 
@@ -134,7 +134,7 @@
         self._disconnected += 1
         if self._log_limit.allows(self._loop.time()):
             logger.warning(
-                "memory: %d of %d bytes held, %d slow clients disconnected",
+                "memory: %d of %d bytes buffered, %d slow clients disconnected",
                 self.budget.reserved,
                 self.budget.limit,
                 self._disconnected,
--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -174,9 +174,9 @@
         """Return whether the client has closed its connection, even if the close has not been read yet."""
         return self.client_socket.has_disconnected()
 
-    def held_bytes(self) -> int:
-        """Return the bytes that the connection holds for its client."""
-        return self._input.held_bytes() + self.writer.held_bytes()
+    def buffered_bytes(self) -> int:
+        """Return the bytes that the connection buffers for its client."""
+        return self._input.buffered_bytes() + self.writer.buffered_bytes()
 
     def update_unwritten(self) -> None:
         """Update how much of the responses the client has not read."""
--- a/proxy/downstream/connection_input.py
+++ b/proxy/downstream/connection_input.py
@@ -19,7 +19,7 @@
 
 #: Requests that are parsed while another one is served; well-behaved clients send none before the response.
 MAX_PIPELINED_REQUESTS = 8
-MAX_UNPARSED_BYTES = 64 << 10  # bytes kept behind these requests
+MAX_UNPARSED_BYTES = 64 << 10  # bytes stored behind these requests
 MAX_DISCARDED_BYTES = 64 << 20  # bytes discarded behind the end of the input; beyond them nothing is read
 
 
@@ -29,8 +29,8 @@
     read_buffer: memoryview
     budget: MemoryBudget
 
-    def allows(self, held: int) -> bool:
-        """Return whether a connection may hold so many bytes, which are counted already."""
+    def allows(self, buffered: int) -> bool:
+        """Return whether a connection may buffer a number of bytes, which are counted already."""
 
 
 class ConnectionInput:
@@ -66,9 +66,9 @@
         self._unparsed_since = 0.0  # the event loop's time at which the first of these bytes was received
         self._discarded_bytes = 0
 
-    def held_bytes(self) -> int:
-        """Return the bytes that are held for the client."""
-        return self._account.held
+    def buffered_bytes(self) -> int:
+        """Return the bytes that are buffered for the client."""
+        return self._account.size
 
     def feed(self, nbytes: int, now: float) -> None:
         """Parse received bytes, and queue the requests that are complete.
@@ -79,7 +79,7 @@
         """
         received = self._memory.read_buffer[:nbytes]
         if self._unparsed:
-            self._keep_unparsed(received)
+            self._store_unparsed(received)
         else:
             self._unparsed_since = now
             self._parse(received)
@@ -88,7 +88,7 @@
             self._drop_for_memory()
 
     def _parse(self, data: memoryview) -> None:
-        """Parse bytes until the queue is full; keep the remaining ones unparsed."""
+        """Parse bytes until the queue is full; store the remaining ones unparsed."""
         while data and len(self.queue) < MAX_PIPELINED_REQUESTS and self.parser.error is None:
             data = data[self.parser.feed(data, self._unparsed_since) :]
         self._unparsed = bytes(data) if self.parser.error is None else b""
@@ -98,11 +98,11 @@
         elif self.ended and not self._unparsed:
             self.queue.append(HttpError(HTTPStatus.BAD_REQUEST, "too many requests at once"))
 
-    def _keep_unparsed(self, data: memoryview) -> None:
-        """Keep bytes behind a full queue.
+    def _store_unparsed(self, data: memoryview) -> None:
+        """Store bytes behind a full queue.
 
         Reading goes on behind a full queue, because the event loop only reports a disconnect that it reads.
-        Beyond the limit the input ends, and is discarded: requests that were kept still get their responses.
+        Beyond the limit the input is discarded; requests that were stored still get their responses.
         """
         size = MAX_UNPARSED_BYTES - len(self._unparsed)
         self._unparsed += data[:size]
--- a/proxy/downstream/listener.py
+++ b/proxy/downstream/listener.py
@@ -76,7 +76,7 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """The bytes that are held for all clients and backends."""
+        """The bytes that are buffered for all clients and backends."""
         return self.memory.budget.reserved
 
     def apply_config(self, config: Config, version: str) -> None:
--- a/proxy/downstream/request_parser.py
+++ b/proxy/downstream/request_parser.py
@@ -29,8 +29,10 @@
 MAX_WIRE_BYTES = 8 * MAX_BODY_BYTES  # bytes of a request as sent; one-byte chunks need six times the body
 SUPPORTED_VERSIONS = ("1.1", "1.0")
 END_OF_HEAD = b"\r\n\r\n"
-HEAD_PART_BYTES = 4 << 10  # bytes of a head that are parsed at a time
-CHUNKED_PART_BYTES = 512  # bytes of a chunked body that are parsed at a time: its end is not known beforehand
+HEAD_PIECE_BYTES = 4 << 10  # bytes of a head that are parsed at a time
+CHUNKED_PIECE_BYTES = (
+    512  # bytes of a chunked body that are parsed at a time: its end is not known beforehand
+)
 REQUEST_BYTES = 1 << 10  # memory of a request without its headers and its body
 
 #: Headers, in lower case, whose values the proxy reads itself.
@@ -117,16 +119,16 @@
             now: The event loop's time at which they were received.
         """
         was_reading, requests_before, self._now = self.reading, self._requests, now
-        part = data[: self._next_part_size(data)]
+        piece = data[: self._next_piece_size(data)]
         try:
-            self._parser.feed_data(part)
+            self._parser.feed_data(piece)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(HTTPStatus.BAD_REQUEST, "the request is malformed")
         if self.reading and (not was_reading or requests_before == self._requests):
-            self._count_wire_bytes(len(part))
+            self._count_wire_bytes(len(piece))
         if self.error is not None:
             self._release_buffers()
-        return len(part)
+        return len(piece)
 
     def reject(self, error: HttpError) -> None:
         """End the input with an error, and release the memory of the incomplete request."""
@@ -142,18 +144,18 @@
         # The previous parser may hold a long header that is incomplete.
         self._parser = httptools.HttpRequestParser(None)
 
-    def _next_part_size(self, data: memoryview) -> int:
-        """Return how many bytes to parse, so that the part does not extend beyond the current request."""
+    def _next_piece_size(self, data: memoryview) -> int:
+        """Return how many bytes to parse, so that the piece does not extend beyond the current request."""
         if self.reading and self._head_complete:
             if self._content_length is None:
-                return CHUNKED_PART_BYTES
+                return CHUNKED_PIECE_BYTES
             return self._content_length - self._body_bytes
-        # The end of the head may have begun in the previous part.
+        # The end of the head may have begun in the previous piece.
         overlap = self._head_end
-        head = overlap + bytes(data[:HEAD_PART_BYTES])
+        head = overlap + bytes(data[:HEAD_PIECE_BYTES])
         position = head.find(END_OF_HEAD)
         self._head_end = head[1 - len(END_OF_HEAD) :] if position < 0 else b""
-        return HEAD_PART_BYTES if position < 0 else position + len(END_OF_HEAD) - len(overlap)
+        return HEAD_PIECE_BYTES if position < 0 else position + len(END_OF_HEAD) - len(overlap)
 
     def _count_wire_bytes(self, nbytes: int) -> None:
         """Count bytes of an incomplete request.
--- a/proxy/downstream/response_writer.py
+++ b/proxy/downstream/response_writer.py
@@ -66,14 +66,14 @@
         for position, error in enumerate(errors, 1):
             self.write(error.status, b"", error.reason.encode() + b"\n", keep_alive=position < len(errors))
 
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Return the bytes of responses that were not written at the last update."""
-        return self._account.held
+        return self._account.size
 
     def update_account(self) -> int:
         """Reserve the memory of what is not written yet, and return its size."""
         self._account.update(self._transport.get_write_buffer_size())
-        return self._account.held
+        return self._account.size
 
     def start_progress(self, now: float) -> None:
         """Start to measure how the client reads the latest response, some of which may still be unwritten.
--- a/proxy/logged_events.py
+++ b/proxy/logged_events.py
@@ -40,7 +40,7 @@
     Attributes:
         memory_limit: The memory that the process may use.
         resident: The memory that it uses before it serves any request.
-        memory_for_peers: The limit on what is held for clients and backends.
+        memory_for_peers: The limit on what is buffered for clients and backends.
         fair_share: The part of it that each client's connection may always use.
     """
 
--- a/proxy/memory_budget.py
+++ b/proxy/memory_budget.py
@@ -1,8 +1,8 @@
-"""The limit on the memory that the proxy holds for its peers, and how much of it is in use.
+"""The limit on the memory that the proxy uses for its peers, and how much of it is in use.
 
 All bytes that clients and backends can make the proxy keep count against one budget: incomplete and waiting
 requests, requests that are being served, incomplete responses, and responses that clients have not read.
-This module only counts: whoever holds bytes reserves them and must release them.
+This module only counts: the owner of a buffer reserves its bytes and must release them.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 def budget_limit(memory_limit: int, resident: int, connections: int) -> int:
-    """Return the bytes that may be held for peers.
+    """Return the bytes that may be buffered for peers.
 
     Args:
         memory_limit: The memory in bytes that the process may use.
@@ -37,11 +37,11 @@
 
 
 class MemoryBudget:
-    """Counts the bytes that are held for peers against one limit.
+    """Counts the bytes that are buffered for peers against one limit.
 
     Attributes:
         limit: The limit in bytes.
-        reserved: The bytes that are held at present.
+        reserved: The bytes that are buffered at present.
         on_shortage: Called with a size for which there is no room, to release bytes that other peers hold.
     """
 
@@ -55,7 +55,7 @@
         self._waiting: dict[Callable[[], bool], None] = {}  # in the order in which they began to wait
 
     def missing(self, size: int = 0) -> int:
-        """Return by how many bytes the limit is exceeded if `size` more are held; 0 or less if it is not."""
+        """Return by how many bytes `size` more would exceed the limit; 0 or less if they would not."""
         return self.reserved + size - self.limit
 
     def has_room(self, size: int) -> bool:
@@ -79,7 +79,7 @@
         self._grants -= 1
 
     def change(self, size: int) -> None:
-        """Add `size` bytes to those that are held, or release them if it is negative.
+        """Add `size` bytes to those that are buffered, or release them if it is negative.
 
         The limit may be exceeded afterwards.
         """
@@ -106,17 +106,17 @@
     """The bytes that one holder has in a budget.
 
     Attributes:
-        held: The number of these bytes.
+        size: The number of these bytes.
     """
 
-    __slots__ = ("_budget", "held")
+    __slots__ = ("_budget", "size")
 
     def __init__(self, budget: MemoryBudget) -> None:
         self._budget = budget
-        self.held = 0
+        self.size = 0
 
-    def update(self, held: int) -> None:
-        """Set the number of bytes that are held; the budget may be exceeded afterwards."""
-        if held != self.held:
-            self._budget.change(held - self.held)
-            self.held = held
+    def update(self, size: int) -> None:
+        """Set the number of bytes; the limit of the budget may be exceeded afterwards."""
+        if size != self.size:
+            self._budget.change(size - self.size)
+            self.size = size
--- a/proxy/process.py
+++ b/proxy/process.py
@@ -37,7 +37,7 @@
 
 
 def resident_bytes() -> int:
-    """Return the resident memory of this process in bytes; 0 if the system does not tell it."""
+    """Return the resident memory of this process in bytes; 0 if the system does not report it."""
     try:
         with open("/proc/self/statm", "rb") as statm:
             resident_pages = int(statm.read().split()[RESIDENT_FIELD])
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -72,7 +72,7 @@
         clock: The balancer's clock.
         reader: Converts the entries of the endpoint list.
         balancer: Decides where requests are sent.
-        memory: The limit on the bytes that are held for peers.
+        memory: The limit on the bytes that are buffered for peers.
         pool: The connections to backends.
         endpoint_table: The backends of the endpoint list.
         discovery: The watch on discovery.
@@ -113,7 +113,7 @@
         self._start(config, cached_list.endpoints)
 
     def limit_memory(self, resident: int) -> None:
-        """Limit what is held for peers to the memory that the process does not use for itself.
+        """Limit what is buffered for peers to the memory that the process does not use for itself.
 
         Args:
             resident: The memory in bytes that the process uses before it accepts connections.
--- a/proxy/upstream/connection_pool.py
+++ b/proxy/upstream/connection_pool.py
@@ -41,7 +41,7 @@
             max_connections: The largest number of connections, established ones and dials in progress.
             backend_idle_timeout: Seconds after which backends close idle connections.
             dial_timeout: Seconds after which a dial fails.
-            memory: The limit on the bytes that are held for peers.
+            memory: The limit on the bytes that are buffered for peers.
         """
         self._loop = asyncio.get_running_loop()
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
--- a/proxy/upstream/response_parser.py
+++ b/proxy/upstream/response_parser.py
@@ -34,8 +34,8 @@
 #: Of the memory for all peers, for the body of one response: it is copied while it is passed on.
 MAX_BUDGET_FRACTION = 0.25
 
-#: Bytes of an incomplete response that are kept even if the memory is used up, so that small responses are
-#: passed on whatever others do.
+#: Bytes of an incomplete response that are stored even if the memory is used up, so that other peers can't
+#: stop small responses from being passed on.
 GUARANTEED_BYTES = 2 << 10
 
 #: Bytes of the head of a response, including the heads of interim responses: the usual limit of HTTP clients.
@@ -115,7 +115,7 @@
         self._body = bytearray()
         self._connection_options = b""  # the values of the Connection headers, each preceded by a comma
         self._not_processed = False
-        self._content_length: int | None = None  # bytes of the body; None if the headers do not tell
+        self._content_length: int | None = None  # bytes of the body; None if the headers do not state it
         self._is_framed = False  # whether the headers define the end of the body
         self._bytes_before_body = 0  # bytes passed to `feed` before the head was complete
         self._header_bytes = 0
@@ -145,19 +145,19 @@
         """
         if self.state is not HEAD and self.state is not BODY:
             return True
-        held, needed = self._held_bytes(), self._needed_bytes()
-        additional = needed - self._account.held
+        buffered, needed = self._buffered_bytes(), self._needed_bytes()
+        additional = needed - self._account.size
         if self.has_grant and additional > 0 and not self._memory.has_room(additional):
             self.state = UNUSABLE  # longer than expected
         elif not self.has_grant and needed > GUARANTEED_BYTES:
             self.has_grant = self._memory.grant(additional)
             if not self.has_grant:
-                self._account.update(held)
+                self._account.update(buffered)
                 return False
         self._account.update(needed)
         return True
 
-    def _held_bytes(self) -> int:
+    def _buffered_bytes(self) -> int:
         if self.state is HEAD:
             return min(self._bytes_before_body, MAX_RESPONSE_HEAD_BYTES) + len(self._headers)
         return len(self._headers) + len(self._body)
@@ -165,7 +165,7 @@
     def _needed_bytes(self) -> int:
         """Return the bytes that the response is expected to need."""
         if self.state is HEAD:
-            return self._held_bytes()
+            return self._buffered_bytes()
         expected = MAX_BODY_BYTES if self._content_length is None else self._content_length
         return len(self._headers) + max(len(self._body), expected)
 
--- a/soak/client_crowd.py
+++ b/soak/client_burst.py
@@ -1,4 +1,4 @@
-"""A crowd of clients that connect to one proxy at once, and send requests slowly or only in part."""
+"""A burst of clients that connect to one proxy at once, and send requests slowly or only in part."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
     from soak.history import History
 
-CROWD_SIZE = 300  # clients
+BURST_SIZE = 300  # clients
 CONNECT_TIMEOUT = 2.0  # seconds
 MAX_PIECES = 4  # pieces in which a client sends its bytes
 MAX_PAUSE = 0.3  # seconds between two pieces
@@ -33,22 +33,19 @@
 )
 
 
-class ClientCrowd:
-    """The clients of one crowd; the history records how their connections end."""
+class ClientBurst:
+    """The clients of one burst; the history records how their connections end."""
 
     def __init__(self, proxy: int, port: int, history: History, rng: random.Random) -> None:
         self._proxy, self._port, self._history, self._rng = proxy, port, history, rng
 
     async def run(self) -> None:
         """Connect all clients at once, and wait until the proxy has ended their connections."""
-        await asyncio.gather(*(self._stall(*self._draw()) for _ in range(CROWD_SIZE)))
+        await asyncio.gather(*(self._stall() for _ in range(BURST_SIZE)))
 
-    def _draw(self) -> tuple[bytes, int, float]:
-        """Draw the bytes of a client, the number of its pieces, and the seconds between two of them."""
-        pieces = self._rng.randint(1, MAX_PIECES)
-        return self._rng.choice(BEGINNINGS), pieces, self._rng.uniform(0.0, MAX_PAUSE)
-
-    async def _stall(self, data: bytes, pieces: int, pause: float) -> None:
+    async def _stall(self) -> None:
+        data, pieces = self._rng.choice(BEGINNINGS), self._rng.randint(1, MAX_PIECES)
+        pause = self._rng.uniform(0.0, MAX_PAUSE)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 reader, writer = await asyncio.open_connection(HOST, self._port)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -10,7 +10,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from soak.client_crowd import ClientCrowd
+from soak.client_burst import ClientBurst
 from soak.client_pipeline import perform_pipeline
 from soak.client_pool import ClientConnectionPool
 from soak.client_requests import RequestExchange
@@ -65,9 +65,9 @@
         for writer in writers:
             writer.close()
 
-    async def send_crowd(self, proxy: int, rng: random.Random) -> None:
-        """Send a crowd of slow clients to a proxy, and wait until the proxy has ended their connections."""
-        await ClientCrowd(proxy, self._fleet[proxy].port, self._history, rng).run()
+    async def send_burst(self, proxy: int, rng: random.Random) -> None:
+        """Send a burst of slow clients to a proxy, and wait until the proxy has ended their connections."""
+        await ClientBurst(proxy, self._fleet[proxy].port, self._history, rng).run()
 
     def _spawn(self, action: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(action)
--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -54,7 +54,7 @@
             FaultKind.RESET_WATCHES: discovery.reset_watches,
             FaultKind.SILENCE: discovery.silence,
             FaultKind.TERMINATE: proxies.terminate,
-            FaultKind.CROWD: proxies.send_crowd,
+            FaultKind.BURST: proxies.send_burst,
         }
 
     async def run(self, until: float) -> None:
--- a/soak/fault_kinds.py
+++ b/soak/fault_kinds.py
@@ -21,8 +21,8 @@
     RESET_WATCHES = "reset_watches"  # all discovery watches are reset
     SILENCE = "silence"  # the discovery agents of some proxies send nothing
     TERMINATE = "terminate"  # a proxy is stopped by SIGTERM and started again
-    CROWD = "crowd"  # many clients at once send incomplete requests to one proxy
+    BURST = "burst"  # many clients at once send incomplete requests to one proxy
 
 
-#: The faults of a scenario that names none. A crowd needs proxies with little memory.
-ALL_FAULTS = tuple(kind for kind in FaultKind if kind is not FaultKind.CROWD)
+#: The faults of a scenario that names none. A burst needs proxies with little memory.
+ALL_FAULTS = tuple(kind for kind in FaultKind if kind is not FaultKind.BURST)
--- a/soak/proxy_faults.py
+++ b/soak/proxy_faults.py
@@ -44,7 +44,7 @@
     def __init__(self, environment: TestEnvironment, rng: random.Random, log: FaultLog) -> None:
         self._environment, self._rng, self._log = environment, rng, log
         self._restarting: set[int] = set()
-        self._crowded: set[int] = set()
+        self._in_burst: set[int] = set()
 
     def _pick_running(self) -> int | None:
         """Return the number of a random proxy that is not restarting; None if too many proxies restart."""
@@ -148,13 +148,13 @@
             until = time.monotonic() + self._rng.uniform(*IDLE_TIMES)
             await self._environment.clients.open_idle_connections(number, IDLE_CONNECTIONS, until)
 
-    async def send_crowd(self) -> None:
-        """Send a crowd of slow clients to one proxy; one that has a crowd gets no other."""
-        free = [number for number in range(len(self._environment.proxies)) if number not in self._crowded]
+    async def send_burst(self) -> None:
+        """Send a burst of slow clients to one proxy; one that has a burst gets no other."""
+        free = [number for number in range(len(self._environment.proxies)) if number not in self._in_burst]
         number = self._rng.choice(free) if free else None
         if number is None or number in self._restarting:
             return
-        self._crowded.add(number)
-        self._log.write(f"proxy {number} gets a crowd")
-        await self._environment.clients.send_crowd(number, self._rng)
-        self._crowded.discard(number)
+        self._in_burst.add(number)
+        self._log.write(f"proxy {number} gets a burst")
+        await self._environment.clients.send_burst(number, self._rng)
+        self._in_burst.discard(number)
--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -41,9 +41,9 @@
     "accepts": Scenario(
         "Accepting a connection fails occasionally.", system_calls=SystemCallFaults(accept=0.05)
     ),
-    "crowds": Scenario(
-        "Crowds of slow clients, and proxies with the least memory.",
-        faults=(FaultKind.DRAIN, FaultKind.PAUSE, FaultKind.TERMINATE, FaultKind.CROWD),
+    "bursts": Scenario(
+        "Bursts of slow clients, and proxies with the least memory.",
+        faults=(FaultKind.DRAIN, FaultKind.PAUSE, FaultKind.TERMINATE, FaultKind.BURST),
         memory_mb=32,
     ),
     "repeats": Scenario(
--- a/tests/proxy/test_memory_limit.py
+++ b/tests/proxy/test_memory_limit.py
@@ -1,4 +1,4 @@
-"""Crowds of clients must not take a process over the memory limit of its configuration, or delay others."""
+"""Bursts of clients must not take a process over the memory limit of its configuration, or delay others."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 
 import pytest
 
-from tests.support.client_crowd import (
+from tests.support.client_burst import (
+    BURST_SIZE,
     CLIENTS_WITH_REQUESTS,
-    CROWD,
     LARGE_BEGINNINGS,
     MAX_BODY,
     MEMORY_MB,
@@ -30,12 +30,12 @@
 ACCEPTABLE_STATUSES = {200, 503}  # a request that is rejected for lack of memory may be repeated
 
 
-async def check_crowd_that_stops(beginning: bytes, config_path: Path) -> None:
-    """Check memory and responses while a crowd sends the beginning of a request and then nothing more."""
+async def check_burst_that_stops(beginning: bytes, config_path: Path) -> None:
+    """Check memory and responses while a burst sends the beginning of a request and then nothing more."""
     async with limited_proxy(config_path, respond_ok) as proxy:
-        crowd = [send_and_wait_for_end(proxy.port, beginning) for _ in range(CROWD)]
+        burst = [send_and_wait_for_end(proxy.port, beginning) for _ in range(BURST_SIZE)]
         others = [request_one_by_one(proxy.port, client, count=10) for client in range(10)]
-        ends, responses = await asyncio.gather(asyncio.gather(*crowd), asyncio.gather(*others))
+        ends, responses = await asyncio.gather(asyncio.gather(*burst), asyncio.gather(*others))
         assert proxy.peak_memory() <= MEMORY_LIMIT
         assert all(end == b"" or 400 <= status_of(end) < 600 for end in ends)
         assert {status_of(each) for client in responses for each in client} == {200}
@@ -43,18 +43,18 @@
 
 @pytest.mark.parametrize("beginning", SHORT_BEGINNINGS.values(), ids=SHORT_BEGINNINGS)
 @in_event_loop
-async def test_crowd_that_stops_early_stays_within_the_memory(beginning: bytes, config_path: Path) -> None:
-    await check_crowd_that_stops(beginning, config_path)
+async def test_burst_that_stops_early_stays_within_the_memory(beginning: bytes, config_path: Path) -> None:
+    await check_burst_that_stops(beginning, config_path)
 
 
 @pytest.mark.parametrize("beginning", LARGE_BEGINNINGS.values(), ids=LARGE_BEGINNINGS)
 @in_event_loop
-async def test_crowd_that_stops_late_stays_within_the_memory(beginning: bytes, config_path: Path) -> None:
-    await check_crowd_that_stops(beginning, config_path)
+async def test_burst_that_stops_late_stays_within_the_memory(beginning: bytes, config_path: Path) -> None:
+    await check_burst_that_stops(beginning, config_path)
 
 
 @in_event_loop
-async def test_crowd_with_large_requests_stays_within_the_memory(config_path: Path) -> None:
+async def test_burst_with_large_requests_stays_within_the_memory(config_path: Path) -> None:
     async with limited_proxy(config_path, stay_silent) as proxy:
         clients = [await connect(proxy.port) for _ in range(CLIENTS_WITH_REQUESTS)]
         for number, client in enumerate(clients):
@@ -71,7 +71,7 @@
 
 
 @in_event_loop
-async def test_crowd_that_pipelines_stays_within_the_memory(config_path: Path) -> None:
+async def test_burst_that_pipelines_stays_within_the_memory(config_path: Path) -> None:
     async with limited_proxy(config_path, respond_ok) as proxy:
         clients = [await connect(proxy.port) for _ in range(CLIENTS_WITH_REQUESTS)]
         for number, client in enumerate(clients):
@@ -83,7 +83,7 @@
 
 
 @in_event_loop
-async def test_crowd_that_reads_no_responses_stays_within_the_memory(config_path: Path) -> None:
+async def test_burst_that_reads_no_responses_stays_within_the_memory(config_path: Path) -> None:
     async with limited_proxy(config_path, lambda _request: LARGE_RESPONSE) as proxy:
         sockets = [await request_without_reading(proxy.port, each) for each in range(CLIENTS_WITH_REQUESTS)]
         for backend in proxy.backends:
--- a/tests/soak/test_fault_injection.py
+++ b/tests/soak/test_fault_injection.py
@@ -24,7 +24,7 @@
     from testbed.child_process import ChildProcess
 
 PROXIES = 24
-CROWD_TIME = 2.0  # seconds for which a crowd is connected
+BURST_TIME = 2.0  # seconds for which a burst is connected
 RESTART_TIME = 1.0  # seconds to stop or to start a process
 RUN_TIME = 12.0  # seconds
 
@@ -129,8 +129,8 @@
     async def open_idle_connections(self, _proxy: int, _count: int, until: float) -> None:
         await asyncio.sleep(until - time.monotonic())
 
-    async def send_crowd(self, _proxy: int, _rng: random.Random) -> None:
-        await asyncio.sleep(CROWD_TIME)
+    async def send_burst(self, _proxy: int, _rng: random.Random) -> None:
+        await asyncio.sleep(BURST_TIME)
 
 
 def stub_environment() -> environment.TestEnvironment:
--- a/tests/support/client_crowd.py
+++ b/tests/support/client_burst.py
@@ -28,7 +28,7 @@
 
 MEMORY_MB = 32  # the least memory that a platform gives a proxy
 SOCKETS = 1024
-CROWD = 400  # clients at once: fewer than the proxy accepts, so that none is refused for its number
+BURST_SIZE = 400  # clients at once: fewer than the proxy accepts, so that none is rejected for its number
 CLIENTS_WITH_REQUESTS = SOCKETS // 3  # the most clients that have requests at the same time
 MAX_BODY = 64 << 10  # bytes; the limit of the protocol
 SMALL_RECEIVE_BUFFER = 4096  # bytes
