--- a/proxy/active_request.py
+++ b/proxy/active_request.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     import asyncio
 
-    from proxy.downstream.request_parser import ClientRequest
+    from proxy.downstream.client_request import ClientRequest
     from proxy.response_sink import ResponseSink
     from proxy.upstream import UpstreamAttempt
 
--- a/proxy/dispatcher.py
+++ b/proxy/dispatcher.py
@@ -29,7 +29,7 @@
     from proxy.active_request import ActiveRequest
     from proxy.dispatch_context import DispatchContext
     from proxy.downstream.classification import ClassifiedRequest
-    from proxy.downstream.request_parser import ClientRequest
+    from proxy.downstream.client_request import ClientRequest
     from proxy.response_sink import ResponseSink
     from proxy.upstream import UpstreamAttempt, UpstreamResponse
 
--- a/proxy/downstream/classification.py
+++ b/proxy/downstream/classification.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from proxy.config import Config
-    from proxy.downstream.request_parser import ClientRequest
+    from proxy.downstream.client_request import ClientRequest
 
 DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 REQUEST_ID = re.compile(rb"[0-9A-Za-z._-]{1,64}")
--- a/proxy/downstream/connection_input.py
+++ b/proxy/downstream/connection_input.py
@@ -9,8 +9,9 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Protocol
 
+from proxy.downstream.client_request import ClientRequest
 from proxy.downstream.errors import HttpError
-from proxy.downstream.request_parser import ClientRequest, RequestParser
+from proxy.downstream.request_parser import RequestParser
 from proxy.downstream.request_queue import RequestQueue
 from proxy.memory_budget import MemoryAccount
 
--- a/proxy/downstream/listener.py
+++ b/proxy/downstream/listener.py
@@ -23,7 +23,7 @@
 
     from proxy.config import Config
     from proxy.downstream.classification import ClassifiedRequest
-    from proxy.downstream.request_parser import ClientRequest
+    from proxy.downstream.client_request import ClientRequest
     from proxy.event_log import EventLog
     from proxy.invariants import InvariantMonitor
     from proxy.memory_budget import MemoryBudget
--- a/proxy/downstream/request_parser.py
+++ b/proxy/downstream/request_parser.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import httptools
 
+from proxy.downstream.client_request import REQUEST_BYTES, ClientRequest
 from proxy.downstream.errors import HttpError
 from proxy.http_common import (
     HEADER_OVERHEAD_BYTES,
@@ -26,6 +26,7 @@
 
 MAX_HEAD_BYTES = 16 << 10  # bytes of a request's head; backends commonly accept this size
 MAX_HEADER_FIELDS = 256  # header lines of a request; each takes time to parse, however short it is
+MAX_CHUNKS = 4096  # chunks of a body; each takes time to parse, however short it is
 MAX_WIRE_BYTES = 8 * MAX_BODY_BYTES  # bytes of a request as sent; one-byte chunks need six times the body
 SUPPORTED_VERSIONS = ("1.1", "1.0")
 END_OF_HEAD = b"\r\n\r\n"
@@ -33,7 +34,6 @@
 CHUNKED_PIECE_BYTES = (
     512  # bytes of a chunked body that are parsed at a time: its end is not known beforehand
 )
-REQUEST_BYTES = 1 << 10  # memory of a request without its headers and its body
 
 #: Headers, in lower case, whose values the proxy reads itself.
 INTERPRETED_HEADERS = frozenset(
@@ -50,40 +50,6 @@
 )
 
 
-@dataclass(slots=True)
-class ClientRequest:
-    """A complete request as the client sent it.
-
-    Attributes:
-        method: Its method, as sent.
-        target: Its target, query included.
-        headers: The values of its `INTERPRETED_HEADERS`, by their names in lower case.
-        forwarded_headers: All its end-to-end headers, each with its line end, except `X-Timeout`, which each
-            attempt sets to the remaining time.
-        body: Its body, without framing.
-        received_at: The event loop's time of its first byte.
-        keep_alive: Whether the connection stays open after the response.
-    """
-
-    method: bytes
-    target: bytes
-    headers: dict[bytes, bytes]
-    forwarded_headers: bytes
-    body: bytes
-    received_at: float
-    keep_alive: bool
-
-    @property
-    def request_id(self) -> bytes:
-        """The client's id of the request; empty if it has none."""
-        return self.headers.get(b"x-request-id", b"")
-
-    def buffered_bytes(self) -> int:
-        """Return the bytes of memory that the request uses."""
-        # The interpreted headers are among the forwarded ones too.
-        return REQUEST_BYTES + len(self.target) + 2 * len(self.forwarded_headers) + len(self.body)
-
-
 class RequestParser:
     """The parser of one connection.
 
@@ -192,7 +158,7 @@
         # One buffer each: as an object of its own, a short header or chunk would take many times its size.
         self._forwarded_headers = bytearray()
         self._body = bytearray()
-        self._head_bytes = self._head_fields = self._body_bytes = self._wire_bytes = 0
+        self._head_bytes = self._head_fields = self._chunks = self._body_bytes = self._wire_bytes = 0
         self._content_length: int | None = 0  # None: the body is chunked
         self._head_complete = False
 
@@ -272,7 +238,10 @@
         if self.error is not None:
             return
         self._body_bytes += len(body)
-        if self._body_bytes <= MAX_BODY_BYTES:
+        self._chunks += self._content_length is None
+        if self._chunks > MAX_CHUNKS:
+            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body has too many chunks")
+        elif self._body_bytes <= MAX_BODY_BYTES:
             self._body += body
         else:
             self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
--- a/proxy/downstream/request_queue.py
+++ b/proxy/downstream/request_queue.py
@@ -9,8 +9,8 @@
 from collections import deque
 from http import HTTPStatus
 
+from proxy.downstream.client_request import ClientRequest
 from proxy.downstream.errors import HttpError
-from proxy.downstream.request_parser import ClientRequest
 
 #: The response to a request that waits behind one which ends its connection: it has not run.
 CONNECTION_ENDS = HttpError(HTTPStatus.SERVICE_UNAVAILABLE, "the connection ends")
--- a/proxy/downstream/routing.py
+++ b/proxy/downstream/routing.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable
 
     from proxy.config import Config
-    from proxy.downstream.request_parser import ClientRequest
+    from proxy.downstream.client_request import ClientRequest
 
 
 class RoutedConnection(ResponseSink, EvictableConnection, Protocol):
--- a/proxy/memory_budget.py
+++ b/proxy/memory_budget.py
@@ -20,7 +20,7 @@
 #: Of the memory that is free at the start. The remainder is for what the counted bytes cost beyond their
 #: number: copies while they are written, and free space between them that can't be used.
 FREE_MEMORY_FRACTION = 0.6
-CONNECTION_BYTES = 6 << 10  # memory of one connection without any request
+CONNECTION_BYTES = 9 << 10  # memory of one connection and its part of a small request
 
 
 def budget_limit(memory_limit: int, resident: int, connections: int) -> int:
--- a/proxy/request_registry.py
+++ b/proxy/request_registry.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from proxy.downstream.classification import ClassifiedRequest
-    from proxy.downstream.request_parser import ClientRequest
+    from proxy.downstream.client_request import ClientRequest
     from proxy.response_sink import ResponseSink
 
 
--- a/testbed/process_memory.py
+++ b/testbed/process_memory.py
@@ -19,3 +19,13 @@
     status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
     fields = dict(line.split(":", 1) for line in status.splitlines())
     return int(fields[PEAK_FIELD].split()[0]) * BYTES_PER_KB
+
+
+def mapped_files(pid: int) -> set[str]:
+    """Return the paths of the files that a process has mapped, such as its libraries.
+
+    Raises:
+        OSError: There is no such process.
+    """
+    lines = Path(f"/proc/{pid}/maps").read_text(encoding="utf-8").splitlines()
+    return {line[line.index("/") :] for line in lines if "/" in line}
