--- a/proxy/downstream/request_parser.py
+++ b/proxy/downstream/request_parser.py
@@ -115,7 +115,7 @@
         if self.reading and self._head_complete:
             if self._content_length is None:
                 return CHUNKED_PIECE_BYTES
-            return self._content_length - self._body_bytes
+            return max(1, self._content_length - self._body_bytes)
         # The end of the head may have begun in the previous piece.
         overlap = self._head_end
         head = overlap + bytes(data[:HEAD_PIECE_BYTES])
