Soak: clients go on using open connections of a proxy that shuts down

Until SIGKILL, as the platform's clients do; before, they only chose proxies that accept connections.

--- a/soak/client_pool.py
+++ b/soak/client_pool.py
@@ -43,6 +43,14 @@
         except OSError:
             return None
 
+    def proxies_that_shut_down(self) -> list[int]:
+        """Return the numbers of the proxies that shut down and still have open idle connections."""
+        return [
+            number
+            for number, idle in self._idle.items()
+            if self._fleet[number].is_shutting_down() and any(connection.is_open for connection in idle)
+        ]
+
     def release(self, connection: ClientConnection, proxy: int) -> None:
         """Make a connection available to later requests, or close it if enough connections are idle."""
         idle = self._idle[proxy]
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -26,6 +26,10 @@
     from soak.history import History
     from soak.proxy_fleet import ProxyFleet
 
+#: Probability that a client uses an open connection to a proxy that shuts down, if there is one: clients do so
+#: until SIGKILL.
+SHUTDOWN_PROBABILITY = 0.3
+
 
 class Clients:
     """All clients of a run."""
@@ -76,7 +80,7 @@
 
     async def _act(self) -> None:
         """Perform one client's action, chosen at random with the probabilities of the mix."""
-        proxy = self._fleet.pick(self._rng)
+        proxy = self._pick_proxy()
         if proxy is None:
             return
         draw = self._rng.random()
@@ -87,6 +91,14 @@
         else:
             await self._exchange.perform(self._exchange.create(proxy))
 
+    def _pick_proxy(self) -> int | None:
+        """Return the number of a random proxy that accepts connections, or to which one is still open."""
+        if self._rng.random() < SHUTDOWN_PROBABILITY:
+            shutting_down = self._connections.proxies_that_shut_down()
+            if shutting_down:
+                return self._rng.choice(shutting_down)
+        return self._fleet.pick(self._rng)
+
     async def _stall(self, proxy: int) -> None:
         """Send an incomplete request on a new connection, and wait for an error or a close."""
         if not self._fleet[proxy].accepts_connections():
--- a/soak/managed_proxy.py
+++ b/soak/managed_proxy.py
@@ -87,6 +87,11 @@
             return False
         return now < incarnation.terminated_at + ACCEPTING_AFTER_TERMINATION
 
+    def is_shutting_down(self) -> bool:
+        """Return whether SIGTERM has been sent to the process, and it has not ended."""
+        incarnation, now = self.incarnation, time.monotonic()
+        return incarnation is not None and incarnation.terminated_at <= now < incarnation.ended_at
+
     def reconfigure(self, **changed: Any) -> None:
         """Write a changed configuration file without sending a signal.
 
--- a/tests/proxy/downstream/test_request_splits.py
+++ b/tests/proxy/downstream/test_request_splits.py
@@ -61,8 +61,21 @@
     ]
 
 
-def parse_in_pieces(data: bytes, cuts: list[int]) -> tuple[RequestParser, list[ClientRequest]]:
-    """Parse bytes that arrive in pieces, and return the parser and the complete requests."""
+@dataclass(frozen=True)
+class ParsedStream:
+    """The result of parsing a stream.
+
+    Attributes:
+        parser: The parser after the last byte.
+        requests: The complete requests.
+    """
+
+    parser: RequestParser
+    requests: list[ClientRequest]
+
+
+def parse_in_pieces(data: bytes, cuts: list[int]) -> ParsedStream:
+    """Parse bytes that arrive in pieces."""
     requests: list[ClientRequest] = []
     parser = RequestParser(requests.append)
     bounds = [0, *sorted(cut % (len(data) + 1) for cut in cuts), len(data)]
@@ -72,7 +85,7 @@
             before = len(requests)
             piece = piece[parser.feed(piece, 0.0) :]
             assert len(requests) - before <= 1 + 512 // 20  # more only at the end of a chunked body
-    return parser, requests
+    return ParsedStream(parser, requests)
 
 
 CUTS = st.lists(st.integers(0, 200_000), max_size=12)
@@ -80,12 +93,12 @@
 
 @given(stream=streams(), cuts=CUTS)
 def test_each_request_is_parsed_with_any_splits(stream: list[SentRequest], cuts: list[int]) -> None:
-    parser, requests = parse_in_pieces(b"".join(each.encode() for each in stream), cuts)
-    assert parser.error is None
-    assert [(each.target, each.body) for each in requests] == [
+    parsed = parse_in_pieces(b"".join(each.encode() for each in stream), cuts)
+    assert parsed.parser.error is None
+    assert [(each.target, each.body) for each in parsed.requests] == [
         (b"/api/%d" % each.number, each.body) for each in stream
     ]
-    assert parser.buffered_bytes() == 0
+    assert parsed.parser.buffered_bytes() == 0
 
 
 @given(stream=streams(), malformed=st.sampled_from(MALFORMED), cuts=CUTS)
@@ -93,16 +106,16 @@
     stream: list[SentRequest], malformed: bytes, cuts: list[int]
 ) -> None:
     data = b"".join(each.encode() for each in stream) + malformed + b"GET / HTTP/1.1\r\n"
-    parser, requests = parse_in_pieces(data, cuts)
-    assert parser.error is not None
-    assert len(requests) == len(stream)
-    assert parser.buffered_bytes() == 0
+    parsed = parse_in_pieces(data, cuts)
+    assert parsed.parser.error is not None
+    assert len(parsed.requests) == len(stream)
+    assert parsed.parser.buffered_bytes() == 0
 
 
 @given(stream=streams(), cuts=CUTS)
 def test_head_is_too_large_by_its_own_bytes_only(stream: list[SentRequest], cuts: list[int]) -> None:
     too_large = SentRequest(99, MAX_HEAD_BYTES + 1, b"", 0).encode()
-    parser, requests = parse_in_pieces(b"".join(each.encode() for each in stream) + too_large, cuts)
-    assert parser.error is not None
-    assert parser.error.reason == "the head is too large"
-    assert len(requests) == len(stream)
+    parsed = parse_in_pieces(b"".join(each.encode() for each in stream) + too_large, cuts)
+    assert parsed.parser.error is not None
+    assert parsed.parser.error.reason == "the head is too large"
+    assert len(parsed.requests) == len(stream)
--- a/tests/proxy/test_memory_at_rest.py
+++ b/tests/proxy/test_memory_at_rest.py
@@ -1,4 +1,4 @@
-"""The memory of a process that serves no request: what it uses itself is not available for its peers."""
+"""Tests of the memory that a process uses itself, which is not available for its peers."""
 
 from __future__ import annotations
 
