--- a/soak/clients.py
+++ b/soak/clients.py
@@ -26,7 +26,7 @@
     from soak.history import History
     from soak.proxy_fleet import ProxyFleet
 
-#: Probability that a client uses an open connection to a proxy that shuts down, if there is one: clients do so
+#: Probability that a client uses an open connection to a proxy that shuts down: clients do so
 #: until SIGKILL.
 SHUTDOWN_PROBABILITY = 0.3
 
