Request parser: an idle connection stores nothing of its last request

The parser kept the headers that the proxy reads itself, and the values of Connection, until the next request began: up to 16 KiB for each idle connection, counted by nothing. X-Timeout was not counted while a request waits, as it is not forwarded. Found by reading. The test failed before: 1,084 bytes were counted for a request with a header of 9,000, and the parser still had the id of a complete request.

--- a/proxy/downstream/client_request.py
+++ b/proxy/downstream/client_request.py
@@ -37,5 +37,5 @@
 
     def buffered_bytes(self) -> int:
         """Return the bytes of memory that the request uses."""
-        # The headers that the proxy reads itself are among the forwarded ones too.
-        return REQUEST_BYTES + len(self.target) + 2 * len(self.forwarded_headers) + len(self.body)
+        interpreted = sum(map(len, self.headers.values()))
+        return REQUEST_BYTES + len(self.target) + interpreted + len(self.forwarded_headers) + len(self.body)
--- a/proxy/downstream/request_parser.py
+++ b/proxy/downstream/request_parser.py
@@ -152,10 +152,10 @@
             self.error = HttpError(status, reason)
 
     def _reset(self) -> None:
-        self._target: list[bytes] = []
         self._headers: dict[bytes, bytes] = {}
         self._connection_options = b""  # the values of all `Connection` headers, each after a comma
         # One buffer each: as an object of its own, a short header or chunk would take many times its size.
+        self._target = bytearray()
         self._forwarded_headers = bytearray()
         self._body = bytearray()
         self._head_bytes = self._head_fields = self._chunks = self._body_bytes = self._wire_bytes = 0
@@ -171,7 +171,7 @@
 
     def on_url(self, url: bytes) -> None:
         """Parser callback: a piece of the target."""
-        self._target.append(url)
+        self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: one header or trailer."""
@@ -250,7 +250,7 @@
         """Parser callback: the request is complete."""
         self.reading = False
         self._requests += 1
-        target = b"".join(self._target)
+        target = bytes(self._target)
         if b"#" in target:
             self._fail(HTTPStatus.BAD_REQUEST, "the target is malformed")
         if self.error is not None:
@@ -264,6 +264,5 @@
             self.started_at,
             self._parser.should_keep_alive(),
         )
-        # The parser waits for the next request, and must not keep a copy of this one.
-        self._forwarded_headers, self._body = bytearray(), bytearray()
+        self._reset()  # an idle connection must not keep parts of its last request
         self._on_request(request)
--- a/tests/proxy/downstream/test_request_splits.py
+++ b/tests/proxy/downstream/test_request_splits.py
@@ -119,3 +119,15 @@
     assert parsed.parser.error is not None
     assert parsed.parser.error.reason == "the head is too large"
     assert len(parsed.requests) == len(stream)
+
+
+def test_memory_of_a_request_includes_every_header_that_is_stored() -> None:
+    large = b"t" * 9000
+    data = b"GET /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: id1\r\nX-Timeout: %b\r\n\r\n" % large
+    parsed = parse_in_pieces(data, [])
+    [request] = parsed.requests
+    assert request.request_id == b"id1"
+    assert request.buffered_bytes() > len(large)
+    # The parser itself stores nothing of a complete request.
+    assert parsed.parser.request_id() == b""
+    assert parsed.parser.buffered_bytes() == 0
