Memory for peers: a connection is not disconnected by its own bytes

A request that had been incomplete for over 0.25 s, and whose last bytes made it complete and used up the budget, was rejected as slow within the parsing of these bytes, and then rejected again: two responses to one request. Found by reading the whole change; the test failed before (2 responses in place of 1). The connection that asks for memory is spared now, and gets its 503 only where no other client is slow.

--- a/proxy/downstream/client_memory.py
+++ b/proxy/downstream/client_memory.py
@@ -75,14 +75,19 @@
         free = self.budget.limit - self.budget.reserved
         return self.read_buffer[: max(MIN_READ_BYTES, free)]
 
-    def allows(self, buffered: int) -> bool:
-        """Return whether a connection may buffer a number of bytes, which are counted already."""
+    def allows(self, connection: ConnectionT, buffered: int) -> bool:
+        """Return whether a connection may buffer a number of bytes, which are counted already.
+
+        Args:
+            connection: The connection, which is not disconnected itself.
+            buffered: The number of bytes.
+        """
         if buffered <= self.fair_share or self.budget.missing() <= 0:
             return True
         if (now := self._loop.time()) >= self._search_at:
             self._search_at = now + 1.0 / MAX_SEARCH_RATE
-            self._reject_slow_requests(0)
-            self._abort_unread_responses(0, written_before=now - SLOW_RESPONSE_AGE)
+            self._reject_slow_requests(0, spared=connection)
+            self._abort_unread_responses(0, written_before=now - SLOW_RESPONSE_AGE, spared=connection)
         return self.budget.missing() <= 0
 
     def make_room_for_response(self, connection: ConnectionT) -> None:
@@ -92,7 +97,7 @@
             connection: The connection whose response has just been written; it is not disconnected.
         """
         if self.budget.missing() > 0:
-            self._reject_slow_requests(0)
+            self._reject_slow_requests(0, spared=connection)
             self._abort_unread_responses(0, spared=connection)
 
     def _release(self, size: int) -> None:
@@ -100,13 +105,14 @@
         self._reject_slow_requests(size)
         self._abort_unread_responses(size)
 
-    def _reject_slow_requests(self, size: int) -> None:
+    def _reject_slow_requests(self, size: int, *, spared: ConnectionT | None = None) -> None:
         """Reject requests that are read slowly and exceed their share, until `size` bytes are free."""
         began_before = self._loop.time() + timeouts.REQUEST_TIMEOUT - SLOW_REQUEST_AGE
         for connection, deadline in tuple(self._connections.reading.items()):
             if self.budget.missing(size) <= 0:
                 return
-            if deadline <= began_before and connection.buffered_bytes() > self.fair_share:
+            is_slow = deadline <= began_before and connection is not spared
+            if is_slow and connection.buffered_bytes() > self.fair_share:
                 self._count_disconnected()
                 connection.reject(HttpError(HTTPStatus.SERVICE_UNAVAILABLE, "the request came too slowly"))
 
--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -142,6 +142,8 @@
                     self.closer.stop_reading()
             return
         connection_input.feed(nbytes, self._loop.time())
+        if not self._memory.allows(self, connection_input.waiting_bytes()):
+            connection_input.drop_for_memory()
         if connection_input.queue:
             self._serve_next()
         elif connection_input.parser.reading:
--- a/proxy/downstream/connection_input.py
+++ b/proxy/downstream/connection_input.py
@@ -30,9 +30,6 @@
     read_buffer: memoryview
     budget: MemoryBudget
 
-    def allows(self, buffered: int) -> bool:
-        """Return whether a connection may buffer a number of bytes, which are counted already."""
-
 
 class ConnectionInput:
     """Parses and queues the requests of one connection, within its limits.
@@ -74,6 +71,8 @@
     def feed(self, nbytes: int, now: float) -> None:
         """Parse received bytes, and queue the requests that are complete.
 
+        The caller then asks the shared memory whether it allows the waiting bytes, and else drops them.
+
         Args:
             nbytes: The number of received bytes in the shared buffer.
             now: The event loop's time.
@@ -85,8 +84,6 @@
             self._unparsed_since = now
             self._parse(received)
         self._update_account()
-        if not self._memory.allows(self._waiting_bytes()):
-            self._drop_for_memory()
 
     def _parse(self, data: memoryview) -> None:
         """Parse bytes until the queue is full; store the remaining ones unparsed."""
@@ -163,7 +160,7 @@
         self._account.update(0)
         self.parser.close()
 
-    def _drop_for_memory(self) -> None:
+    def drop_for_memory(self) -> None:
         """End the input to release its memory: the requests of all clients together would fill it.
 
         Each request that was received gets a response.
@@ -189,8 +186,9 @@
             self.queue.clear()
         return complete
 
-    def _waiting_bytes(self) -> int:
+    def waiting_bytes(self) -> int:
+        """Return the bytes of everything but the request that is being served."""
         return self.parser.buffered_bytes() + self.queue.buffered_bytes() + len(self._unparsed)
 
     def _update_account(self) -> None:
-        self._account.update(self._waiting_bytes() + self._served_bytes)
+        self._account.update(self.waiting_bytes() + self._served_bytes)
--- a/tests/proxy/downstream/test_limits.py
+++ b/tests/proxy/downstream/test_limits.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from proxy.downstream.client_memory import SLOW_REQUEST_AGE
 from tests.support.client_scenarios import CHUNKED_REQUEST
 from tests.support.loopback import (
+    ManualClock,
     in_event_loop,
     proxy_with_backends,
     respond_ok,
@@ -130,6 +132,30 @@
         assert backend.received.empty()
 
 
+@in_event_loop
+async def test_slow_request_that_becomes_complete_while_memory_is_short_gets_one_response() -> None:
+    async with proxy_with_backends(respond_ok, memory_limit=MEMORY_LIMIT) as (proxy, _):
+        slow = await proxy.connect()
+        budget, clock = proxy.listener.memory.budget, ManualClock()
+        request = post_request(1, body=b"x" * (20 << 10))
+        slow.writer.write(request[:-1500])
+        await clock.wait_until(lambda: budget.reserved > 18 << 10)
+        await clock.advance(2.0 * SLOW_REQUEST_AGE)
+        for number in (2, 3):
+            client = await clock.wait_for(proxy.connect())
+            large = post_request(number, body=b"x" * (60 << 10))
+            head_size = large.index(b"\r\n\r\n") + 4
+            client.writer.write(large[:head_size])
+            await clock.settle()
+            size = min(50 << 10, -budget.missing() - 800)
+            client.writer.write(large[head_size : head_size + size])
+            await clock.settle()
+        assert 0 > budget.missing() > -1000
+        slow.writer.write(request[-1500:])
+        response = await clock.wait_for(slow.reader.read())
+        assert response.count(b"HTTP/1.1 ") == response.count(b"HTTP/1.1 503 ") == 1
+
+
 @in_event_loop
 async def test_memory_of_waiting_requests_is_released_as_they_are_served() -> None:
     async with proxy_with_backends(stay_silent) as (proxy, [backend]):
