Shutdown: a response in transit survives a request that crosses the close

Cause: an idle connection was closed without regard to what its client had not received yet; any byte that is unread then, or that arrives afterwards, resets it. Forced both ways with a large response in the proxy's socket: ConnectionResetError.

Now reading stops first, and only the sending side is closed while bytes are unread or not acknowledged (TIOCOUTQ; where the system does not report them, as before).

--- a/proxy/downstream/client_socket.py
+++ b/proxy/downstream/client_socket.py
@@ -5,7 +5,10 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
+import sys
+import termios
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -16,6 +19,9 @@
 DISCONNECT_EVENTS = select.POLLRDHUP | RESET_EVENTS
 
 
+INT_SIZE = 4  # bytes of the integer that TIOCOUTQ writes
+
+
 class ClientSocket:
     """Polls one client's socket without waiting."""
 
@@ -46,5 +52,16 @@
         """Return whether the client has sent bytes that have not been read."""
         return not self._transport.is_closing() and bool(self._events() & select.POLLIN)
 
+    def has_unacknowledged_output(self) -> bool:
+        """Return whether bytes that were written have not reached the client's machine."""
+        if self._transport.is_closing():
+            return False
+        descriptor = self._transport.get_extra_info("socket").fileno()
+        try:
+            size = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(INT_SIZE))
+        except OSError:  # the system does not report it
+            return False
+        return int.from_bytes(size, sys.byteorder) > 0
+
     def _events(self) -> int:
         return sum(events for _, events in self._poller.poll(0))
--- a/proxy/downstream/closing.py
+++ b/proxy/downstream/closing.py
@@ -64,11 +64,13 @@
     def close(self) -> None:
         """Close the transport once everything is written.
 
-        Closing a socket with unread input resets the connection, which would cut off a response in transit.
-        If there may be unread input, only the sending side is closed; the client's close ends the connection.
+        Closing a socket with unread input resets the connection, and so does input that arrives afterwards.
+        The reset would cut off a response in transit. If there may be one, only the sending side is closed, and
+        the client ends the connection.
         """
         is_writing = self._transport.get_write_buffer_size() > 0
-        if self.reading_stopped and (is_writing or self._socket.has_unread_input()):
+        in_transit = is_writing or self._socket.has_unacknowledged_output()
+        if self.reading_stopped and (in_transit or self._socket.has_unread_input()):
             self.end_sending()
         else:
             self._transport.close()
--- a/proxy/downstream/connection.py
+++ b/proxy/downstream/connection.py
@@ -272,6 +272,7 @@
     def begin_closing(self) -> None:
         """Begin to close for a shutdown: close if new or idle, and stop reading if a response is pending."""
         if self._state is NEW or self._state is IDLE:
+            self.closer.stop_reading()
             self.close(CloseReason.SHUTDOWN)
         elif self._state is SERVING or self._state is WAITING:
             self.closer.stop_reading()
--- a/tests/proxy/downstream/test_unread_responses.py
+++ b/tests/proxy/downstream/test_unread_responses.py
@@ -106,6 +106,31 @@
         sock.close()
 
 
+@pytest.mark.parametrize("sent_before_close", [True, False], ids=["before the close", "after the close"])
+@in_event_loop
+async def test_response_in_transit_survives_a_shutdown_that_crosses_the_next_request(
+    *, sent_before_close: bool
+) -> None:
+    async with proxy_with_backends(lambda _: LARGE_RESPONSE) as (proxy, [backend]):
+        client = await connect_slow_reader(proxy)
+        limit_send_buffer(client.connection, 4 * len(BODY))
+        sock, loop = client.sock, asyncio.get_running_loop()
+        await loop.sock_sendall(sock, get_request(1))
+        await wait_until(lambda: bool(proxy.listener.connections.idle))
+        assert unwritten_bytes(client.connection) == 0  # all of it is in the proxy's socket
+        if sent_before_close:
+            sock.send(get_request(2))
+        proxy.listener.stop_keepalive()
+        if not sent_before_close:
+            await asyncio.sleep(0)
+            sock.send(get_request(2))
+        response = await read_body(sock)
+        assert response.endswith(BODY)
+        assert backend.received.qsize() == 1
+        sock.close()
+        await wait_until(lambda: not proxy.listener.connections.open)
+
+
 @in_event_loop
 async def test_shutdown_serves_a_request_that_waits_for_an_unread_response() -> None:
     responses = [OK_RESPONSE, LARGE_RESPONSE]
